--- a/standins/src/test/kotlin/org/hemlockpond/standins/PlatformClientTest.kt
+++ b/standins/src/test/kotlin/org/hemlockpond/standins/PlatformClientTest.kt
@@ -42,12 +42,14 @@
     /** Guards against one conflict failing the other writes of a group. */
     @Test
     fun groupedWritesHaveOneOutcomeEach() = runBlocking {
-        client.commit(listOf(ConditionalWrite("a", 0, "1")))
+        client.commit(listOf(ConditionalWrite("g/a", 0, "1")))
         val results =
-            client.commitEach(listOf(ConditionalWrite("a", 0, "2"), ConditionalWrite("b", 0, "3")))
+            client.commitEach(
+                listOf(ConditionalWrite("g/a", 0, "2"), ConditionalWrite("g/b", 0, "3"))
+            )
         assertIs<WriteResult.Conflict>(results[0])
         assertIs<WriteResult.Applied>(results[1])
-        val values = assertIs<ReadResult.Values>(client.readPrefix("")).values
+        val values = assertIs<ReadResult.Values>(client.readPrefix("g/")).values
         assertEquals(listOf("1", "3"), values.map { it.value })
     }
 
