--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetMessage.kt
@@ -0,0 +1,45 @@
+/*
+ * Messages between the budget components of two routers. All counts are cumulative for a customer
+ * and a pair of routers, so that lost, repeated and reordered messages do no harm.
+ */
+package org.hemlockpond.core.budget
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.hemlockpond.core.CustomerId
+
+/** A message to the budget component of another router. */
+@Serializable
+sealed interface BudgetMessage {
+    /**
+     * Asks for a loan of [tokens].
+     *
+     * @property received tokens that the sender has received from this lender so far
+     */
+    @Serializable
+    @SerialName("loan-request")
+    data class LoanRequest(val customer: CustomerId, val tokens: Long, val received: Long) :
+        BudgetMessage
+
+    /**
+     * Lends tokens, or declines if [total] is unchanged.
+     *
+     * @property total tokens that the sender has lent to this borrower so far
+     */
+    @Serializable
+    @SerialName("loan")
+    data class Loan(val customer: CustomerId, val total: Long) : BudgetMessage
+
+    /**
+     * Tells a router of the lender's failure domain what the lender has lent to all borrowers, so
+     * that it can close the lender's slices from a copy.
+     */
+    @Serializable
+    @SerialName("lent-totals")
+    data class LentTotals(val totals: Map<CustomerId, Long>) : BudgetMessage
+
+    /** Confirms [LentTotals] with the same content. */
+    @Serializable
+    @SerialName("lent-totals-noted")
+    data class LentTotalsNoted(val totals: Map<CustomerId, Long>) : BudgetMessage
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -0,0 +1,52 @@
+/*
+ * Settings of the budget component. The defaults are those of the deployments of section 1.3.
+ */
+package org.hemlockpond.core.budget
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of [BudgetHolder].
+ *
+ * @property grantWait how long a request waits for a grant or loan before it is refused
+ * @property routerLease the lease of a router in the store
+ * @property leaseMargin how long before the end of the lease the holder stops spending
+ * @property grantSpan the span of demand that a refill covers; `wanted` uses the same span
+ * @property lowSpan a refill starts when the free tokens cover less than this span of demand
+ * @property reportInterval the shortest time between two periodic reports of one failure domain
+ * @property idleReportInterval the longest time that changed spend stays unreported
+ * @property placedShare share of the remaining tokens that is granted ahead of use
+ * @property endShare when less than this share of all payments remains, grants shrink to
+ *   [endSpan] of demand and the rest stays in the record
+ * @property endSpan the span of demand that a grant covers near the end of a budget
+ * @property storeTimeout a store call without answer counts as lost after this time
+ * @property readInterval the shortest time between two reads of one record for waiting requests
+ * @property loanInterval the shortest time between two loan requests for one customer
+ * @property copylessDelay how long a router without a copy leaves the slices of a dead router to
+ *   routers that hold one
+ */
+data class BudgetSettings(
+    val grantWait: Duration = 200.milliseconds,
+    val routerLease: Duration = 6.hours,
+    val leaseMargin: Duration = 1.minutes,
+    val grantSpan: Duration = 1.minutes,
+    val lowSpan: Duration = 5.seconds,
+    val reportInterval: Duration = 10.seconds,
+    val idleReportInterval: Duration = 1.minutes,
+    val placedShare: Double = 0.95,
+    val endShare: Double = 0.03,
+    val endSpan: Duration = 1.seconds,
+    val storeTimeout: Duration = 1.seconds,
+    val readInterval: Duration = 50.milliseconds,
+    val loanInterval: Duration = 20.milliseconds,
+    val copylessDelay: Duration = 10.minutes
+) {
+    init {
+        require(leaseMargin < routerLease) { "leaseMargin must be shorter than routerLease" }
+        require(placedShare in 0.0..1.0) { "placedShare is $placedShare, not within 0..1" }
+    }
+}
