--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingSettings.kt
@@ -0,0 +1,81 @@
+/*
+ * The constants of routing, with the reason for each value.
+ */
+package org.hemlockpond.core.routing
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * Settings of a [Dispatcher].
+ *
+ * @property tick how often the router sends [RoutingEvent.Tick]
+ * @property routersPerDomain the most routers that may run in one failure domain, seen or not. An
+ *   endpoint's memory stays safe without messages only while this holds.
+ * @property routersElsewhere the most routers that may run in all other failure domains together
+ * @property remoteShare the part of an endpoint's memory for routers of other failure domains
+ * @property memoryReserve the part of an endpoint's memory that isn't given out; it absorbs
+ *   estimates of the prompt that are too low
+ * @property longShare the part of a router's share that classes after the first may fill, so that
+ *   the first class finds room during a flood of long requests
+ * @property loadBound how far above the mean an endpoint's load may be and still be chosen for its
+ *   cached prefix
+ * @property queueLimit the most requests that wait in one queue
+ * @property priorityStep how much earlier one step of priority is served than its arrival
+ * @property patience the part of its deadline that a request waits before one endpoint is kept
+ *   free for it
+ * @property retryRatio retries earned by each first attempt
+ * @property retryBurst retries that may be saved up
+ * @property maxAttempts attempts of one request
+ * @property failureRun failures in a row, of different content, that exclude an endpoint
+ * @property exclusion the first exclusion of an endpoint; doubles up to [exclusionLimit]
+ * @property probationRequests requests at once that an endpoint on probation gets at first
+ * @property probationSuccesses answers in a row that end probation
+ * @property firstTokenTimeout the longest wait for a first token, for an empty prompt
+ * @property firstTokenPerToken what each prompt token adds to [firstTokenTimeout]
+ * @property hardTimeoutFactor after this many first-token timeouts an attempt is given up even if
+ *   it can't be retried
+ * @property leavingLapse how long an endpoint's own statement that it is leaving holds
+ * @property reportValidity the age at which a load report is no longer used
+ * @property loanIdle how long a loan may lie idle before it is returned
+ * @property borrowInterval the shortest time between two requests for a loan at one endpoint
+ * @property suspectDelay the wait before a suspect is tried again, in which the verdicts of other
+ *   routers arrive
+ * @property suspectMemory how long verdicts are kept
+ * @property suspectLimit the most verdicts that are kept
+ * @property isolationWait the longest wait for other routers' work to leave an endpoint that a
+ *   suspect is to have alone
+ */
+data class RoutingSettings(
+    val tick: Duration = 50.milliseconds,
+    val routersPerDomain: Int = 3,
+    val routersElsewhere: Int = 6,
+    val remoteShare: Double = 0.2,
+    val memoryReserve: Double = 0.05,
+    val longShare: Double = 0.85,
+    val loadBound: Double = 1.25,
+    val queueLimit: Int = 2_000,
+    val priorityStep: Duration = 250.milliseconds,
+    val patience: Double = 0.5,
+    val retryRatio: Double = 0.1,
+    val retryBurst: Double = 10.0,
+    val maxAttempts: Int = 3,
+    val failureRun: Int = 3,
+    val exclusion: Duration = 1.seconds,
+    val exclusionLimit: Duration = 1.minutes,
+    val probationRequests: Int = 1,
+    val probationSuccesses: Int = 3,
+    val firstTokenTimeout: Duration = 5.seconds,
+    val firstTokenPerToken: Duration = 0.5.milliseconds,
+    val hardTimeoutFactor: Int = 4,
+    val leavingLapse: Duration = 1.minutes,
+    val reportValidity: Duration = 5.seconds,
+    val loanIdle: Duration = 500.milliseconds,
+    val borrowInterval: Duration = 100.milliseconds,
+    val suspectDelay: Duration = 500.milliseconds,
+    val suspectMemory: Duration = 60.minutes,
+    val suspectLimit: Int = 10_000,
+    val isolationWait: Duration = 5.seconds
+)
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/StreamWindow.kt
@@ -0,0 +1,153 @@
+/*
+ * Bounds the memory that slow readers hold. A stream is read from the engine only while it has
+ * credit for one more piece, both in its own window and in the bound shared by all streams, so
+ * neither bound can be passed by a piece that is already on its way. A reader that stays behind
+ * for long no longer holds the engine's memory: its stream is cancelled there and resumed from
+ * the offset it has reached.
+ */
+package org.hemlockpond.core.routing
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+
+/**
+ * Bounds of a [StreamWindow].
+ *
+ * @property streamBytes the most bytes held for one stream
+ * @property sharedBytes the most bytes held for all streams together
+ * @property pieceBytes the most bytes of one read from an engine; a read that was under way when
+ *   reading was paused may still deliver this much
+ * @property stall how long a stream may be paused before it is cancelled at the engine
+ */
+data class StreamSettings(
+    val streamBytes: Int = 64 * 1024,
+    val sharedBytes: Long = 32L * 1024 * 1024,
+    val pieceBytes: Int = 4 * 1024,
+    val stall: Duration = 2.seconds
+)
+
+/** What the router is to do with a stream. */
+sealed interface StreamAction {
+    val request: RequestId
+
+    /** Stop reading from the engine after the read that is under way. */
+    data class PauseReading(override val request: RequestId) : StreamAction
+
+    /** Read from the engine again. */
+    data class ContinueReading(override val request: RequestId) : StreamAction
+
+    /** Cancel the stream at the engine; the bytes held stay for the reader. */
+    data class CancelAtEngine(override val request: RequestId) : StreamAction
+
+    /** Run the request again from byte [offset] of its answer. */
+    data class ResumeFrom(override val request: RequestId, val offset: Long) : StreamAction
+}
+
+/** The streams of one router. All functions are called on the control thread. */
+class StreamWindow(private val settings: StreamSettings = StreamSettings()) {
+    private enum class State { READING, PAUSED, CANCELLED }
+
+    private class Stream(var received: Long, var written: Long) {
+        var state = State.PAUSED
+        var since: Duration = Duration.ZERO
+        var ended = false
+        val held: Long get() = received - written
+    }
+
+    private val streams = LinkedHashMap<RequestId, Stream>()
+    private var readers = 0
+
+    /** Bytes held for all streams. */
+    var heldBytes: Long = 0
+        private set
+
+    /** Bytes held for one stream. */
+    fun heldBytes(request: RequestId): Long = streams[request]?.held ?: 0
+
+    /** Starts a stream at byte [offset] of its answer. It is read only after `ContinueReading`. */
+    fun open(request: RequestId, now: Now, offset: Long = 0): List<StreamAction> {
+        close(request, now)
+        streams[request] = Stream(offset, offset).also { it.since = now.elapsed }
+        return admit(now)
+    }
+
+    /** The engine delivered [bytes], at most one piece. */
+    fun received(request: RequestId, bytes: Int, now: Now): List<StreamAction> {
+        val stream = streams[request] ?: return emptyList()
+        stream.received += bytes
+        heldBytes += bytes
+        if (stream.state != State.READING || mayRead(stream, 0)) return emptyList()
+        pause(stream, now)
+        return listOf(StreamAction.PauseReading(request))
+    }
+
+    /** The engine has delivered the whole answer. */
+    fun ended(request: RequestId, now: Now): List<StreamAction> {
+        val stream = streams[request] ?: return emptyList()
+        stream.ended = true
+        if (stream.state == State.READING) pause(stream, now)
+        return admit(now)
+    }
+
+    /** The reader took [bytes]. */
+    fun written(request: RequestId, bytes: Int, now: Now): List<StreamAction> {
+        val stream = streams[request] ?: return emptyList()
+        stream.written += bytes
+        heldBytes -= bytes
+        return admit(now)
+    }
+
+    /** The stream is over; what it held is released. */
+    fun close(request: RequestId, now: Now): List<StreamAction> {
+        val stream = streams.remove(request) ?: return emptyList()
+        heldBytes -= stream.held
+        if (stream.state == State.READING) readers--
+        return admit(now)
+    }
+
+    /** Cancels the streams whose readers have been behind for [StreamSettings.stall]. */
+    fun tick(now: Now): List<StreamAction> {
+        val actions = ArrayList<StreamAction>()
+        for ((request, stream) in streams) {
+            if (stream.state != State.PAUSED || stream.ended || stream.held == 0L) continue
+            if (now.elapsed - stream.since < settings.stall) continue
+            stream.state = State.CANCELLED
+            actions += StreamAction.CancelAtEngine(request)
+        }
+        return actions + admit(now)
+    }
+
+    /** Gives free credit to the streams that have waited longest. */
+    private fun admit(now: Now): List<StreamAction> {
+        val actions = ArrayList<StreamAction>()
+        for ((request, stream) in streams) {
+            if (stream.ended || stream.state == State.READING) continue
+            if (stream.held > settings.streamBytes / 4 || !mayRead(stream, 1)) continue
+            val cancelled = stream.state == State.CANCELLED
+            stream.state = State.READING
+            stream.since = now.elapsed
+            readers++
+            actions += if (cancelled) {
+                StreamAction.ResumeFrom(request, stream.received)
+            } else {
+                StreamAction.ContinueReading(request)
+            }
+        }
+        return actions
+    }
+
+    private fun pause(stream: Stream, now: Now) {
+        stream.state = State.PAUSED
+        stream.since = now.elapsed
+        readers--
+    }
+
+    /** Two pieces: the one that this credit allows, and the read that a pause can't stop. */
+    private fun mayRead(stream: Stream, added: Int): Boolean {
+        val own = stream.held + 2L * settings.pieceBytes <= settings.streamBytes
+        val all = heldBytes + 2L * settings.pieceBytes * (readers + added)
+        return own && all <= settings.sharedBytes
+    }
+}
