--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerSettings.kt
@@ -0,0 +1,38 @@
+package org.hemlockpond.core.ledger
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlin.time.Duration.Companion.seconds
+
+/**
+ * The limits of a [RequestLedger].
+ *
+ * @property retryWindow how long a finished request is remembered
+ * @property openWindow how long a request that never ends is remembered
+ * @property claimLimit how long the home may take to answer before the next one is asked
+ * @property copyInterval how long entries wait for a batch
+ * @property copyLimit how long the copy peer may take to acknowledge before it is replaced
+ * @property copyContact longest silence of a router after which its copy still counts as complete
+ * @property repeatAfter how long an unacknowledged report waits before it is repeated
+ * @property storeLimit how long a call may wait for its run record before it is refused
+ * @property batchSize the most entries in one message or store call
+ * @property answerLength the longest body kept for a replay, in characters
+ * @property answerMemory the most characters of bodies kept in all
+ * @property maxEntries the most requests remembered; beyond it a new request is refused
+ */
+data class LedgerSettings(
+    val retryWindow: Duration = 10.minutes,
+    val openWindow: Duration = 6.hours,
+    val claimLimit: Duration = 100.milliseconds,
+    val copyInterval: Duration = 5.milliseconds,
+    val copyLimit: Duration = 100.milliseconds,
+    val copyContact: Duration = 5.seconds,
+    val repeatAfter: Duration = 500.milliseconds,
+    val storeLimit: Duration = 1.seconds,
+    val batchSize: Int = 64,
+    val answerLength: Int = 8_192,
+    val answerMemory: Long = 16_777_216,
+    val maxEntries: Int = 200_000
+)
