Add the version-move component with its public API

MoveFollower is the one entry point of a router: it splits traffic, counts and exchanges evidence, stops a bad version locally, and acts as controller while the router holds the controller lease. A fixed error threshold was ruled out because overload and an unhealthy failure domain raise it for a good version too; the test compares both versions within the same period, domain and load.

--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveFollower.kt
@@ -0,0 +1,256 @@
+/*
+ * One router's part in version moves: it splits traffic along the course, counts evidence, exchanges
+ * it with its peers, and stops a bad version on its own. The controller role is part of it and acts
+ * only while the router holds the controller lease.
+ */
+package org.hemlockpond.core.moves
+
+import kotlin.math.ln
+import kotlin.time.Duration
+import org.hemlockpond.core.EndpointConfig
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.FleetConfig
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouteId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.VersionId
+
+/** What a router knows of a route's latest move. */
+internal class KnownMove(var record: MoveRecord, var revision: Long, settings: MoveSettings) {
+    val evidence = Evidence()
+    val tests = Metric.entries.map { SequentialTest(it, settings) }
+    val period: Duration = maxOf(settings.shortestPeriod, record.length / settings.longestSeries)
+    var stop: RollbackCause? = null
+
+    /** Own cells with counts that the peers haven't been sent. */
+    val unsent = LinkedHashSet<CellKey>()
+
+    /** Whether the new version must get no traffic. */
+    val stopped: Boolean get() = stop != null || record.state == MoveState.ROLLED_BACK
+}
+
+/**
+ * The version-move component of one router.
+ *
+ * @param self this router's incarnation
+ * @param domain this router's failure domain
+ */
+class MoveFollower(
+    private val self: RouterId,
+    private val domain: FailureDomain,
+    private val settings: MoveSettings = MoveSettings()
+) {
+    private val moves = HashMap<RouteId, KnownMove>()
+    private val earlyStops = HashMap<RouteId, MoveMessage.Stop>()
+    private val controller = MoveController(settings, ::adopt)
+    private val logThreshold = ln(settings.threshold)
+    private var config = FleetConfig()
+    private var endpoints: Map<RouteId, List<EndpointConfig>> = emptyMap()
+    private var peers: Set<RouterId> = emptySet()
+    private var lastReport: Duration = Duration.ZERO
+    private var lastRepeat: Duration = Duration.ZERO
+
+    fun handle(event: MoveEvent, now: Now): List<MoveAction> = buildList {
+        when (event) {
+            is MoveEvent.Outcome -> onOutcome(event, now)
+
+            is MoveEvent.RecordRead -> {
+                controller.onRecordRead(event.route)
+                if (event.record != null && adopt(event.record, event.revision)) {
+                    add(notice(event.record, event.revision))
+                }
+            }
+
+            is MoveEvent.PeerReceived -> onPeer(event.from, event.message)
+
+            is MoveEvent.PeersChanged -> onPeers(event.routers)
+
+            is MoveEvent.ConfigChanged -> {
+                config = event.config
+                endpoints = event.config.endpoints.filter { !it.leaving }.groupBy { it.route }
+            }
+
+            is MoveEvent.RecordWritten -> addAll(controller.onWritten(event))
+
+            is MoveEvent.ControllerLease -> controller.onLease(event, now)
+
+            is MoveEvent.OrderResult -> controller.onOrderResult(event, now)
+
+            MoveEvent.Tick -> onTick(now)
+        }
+        addAll(controller.act(moves, endpoints, now))
+    }
+
+    /**
+     * The version that serves [request], or null when no move concerns [route] and the declared
+     * version applies. A retry within one failure domain gets the same answer unless the version
+     * was stopped in between.
+     */
+    fun versionFor(route: RouteId, request: RequestId, now: Now): VersionId? {
+        val move = moves[route] ?: return null
+        val record = move.record
+        val own = endpoints[route].orEmpty()
+        if (record.state != MoveState.RUNNING && !concerns(record)) return null
+        return when {
+            move.stopped -> record.from
+
+            record.state == MoveState.DONE ->
+                if (shareIn(record, own, domain) > 0 || own.none { it.domain == domain }) {
+                    record.to
+                } else {
+                    record.from
+                }
+
+            else -> {
+                val share = courseShare(record, own, domain, now.wall)
+                if (splitPoint(request, record.number) < share) record.to else record.from
+            }
+        }
+    }
+
+    /** The version that a finished move of [route] left in force, or null. */
+    fun versionInForce(route: RouteId): VersionId? = moves[route]?.record?.versionInForce
+
+    /** The record of the latest move of [route] and its revision, as far as this router knows. */
+    fun record(route: RouteId): Pair<MoveRecord, Long>? =
+        moves[route]?.let { it.record to it.revision }
+
+    /** Whether this router keeps traffic of [route] from the new version of its latest move. */
+    fun isStopped(route: RouteId): Boolean = moves[route]?.stopped == true
+
+    /** The present e-value of each metric of the latest move of [route]. */
+    fun findings(route: RouteId): List<Finding> =
+        moves[route]?.tests?.map { it.finding() }.orEmpty()
+
+    /** Whether the declared version of the route is one of the ended move's versions. */
+    private fun concerns(record: MoveRecord): Boolean {
+        val declared = config.routes.find { it.id == record.route }?.version ?: return true
+        return declared == record.from || declared == record.to
+    }
+
+    private fun adopt(record: MoveRecord, revision: Long): Boolean {
+        val known = moves[record.route]
+        if (known != null && revision <= known.revision) return false
+        if (known == null || known.record.number != record.number) {
+            val fresh = KnownMove(record, revision, settings)
+            fresh.stop = earlyStops[record.route]?.takeIf { it.number == record.number }?.cause
+            moves[record.route] = fresh
+        } else {
+            known.record = record
+            known.revision = revision
+        }
+        return true
+    }
+
+    private fun MutableList<MoveAction>.onOutcome(event: MoveEvent.Outcome, now: Now) {
+        val move = moves[event.route] ?: return
+        val record = move.record
+        val new = event.version == record.to
+        if (record.state != MoveState.RUNNING || now.wall < record.start) return
+        if (!new && event.version != record.from) return
+        val period = ((now.wall - record.start) / move.period).toInt()
+        val moved = endpoints[event.route].orEmpty()
+            .count { it.domain == event.domain && runs(record, it) == record.to }
+        val load = (event.load * settings.loadLevels).toInt().coerceIn(0, settings.loadLevels - 1)
+        val key = CellKey(moved, period, event.domain, load)
+        move.evidence.add(self, key, new, event.result)
+        move.unsent += key
+        judge(move)
+    }
+
+    private fun MutableList<MoveAction>.judge(move: KnownMove) {
+        for (key in move.evidence.takeChanged()) {
+            val cell = move.evidence.cells.getValue(key)
+            for (test in move.tests) test.update(key, cell)
+        }
+        if (move.stopped) return
+        val test = move.tests.firstOrNull { it.logEValue() >= logThreshold } ?: return
+        stop(move, RollbackCause.Worse(test.finding()))
+    }
+
+    private fun MutableList<MoveAction>.stop(move: KnownMove, cause: RollbackCause) {
+        move.stop = cause
+        add(stopMessage(move, cause))
+    }
+
+    private fun MutableList<MoveAction>.onPeer(from: RouterId, message: MoveMessage) {
+        when (message) {
+            is MoveMessage.EvidenceReport -> {
+                val move = moves[message.route] ?: return
+                if (message.number != move.record.number) return
+                move.evidence.merge(from, message.cells)
+                judge(move)
+            }
+
+            is MoveMessage.Stop -> {
+                val move = moves[message.route]
+                val number = move?.record?.number ?: 0
+                if (move != null && message.number == number && !move.stopped) {
+                    stop(move, message.cause)
+                }
+                if (message.number > number) earlyStops[message.route] = message
+            }
+
+            is MoveMessage.RecordNotice -> adopt(message.record, message.revision)
+        }
+    }
+
+    private fun MutableList<MoveAction>.onPeers(routers: Set<RouterId>) {
+        val joined = routers - peers
+        peers = routers
+        if (joined.isEmpty()) return
+        for (move in moves.values) {
+            add(notice(move.record, move.revision))
+            if (move.record.state == MoveState.RUNNING) report(move) { true }
+            move.stop?.let { add(stopMessage(move, it)) }
+        }
+    }
+
+    private fun MutableList<MoveAction>.onTick(now: Now) {
+        if (now.elapsed - lastReport >= settings.exchangeInterval) {
+            lastReport = now.elapsed
+            for (move in moves.values) if (move.unsent.isNotEmpty()) report(move)
+        }
+        if (now.elapsed - lastRepeat >= settings.repeatInterval) {
+            lastRepeat = now.elapsed
+            moves.values.forEach { repeat(it, now) }
+        }
+        moves.values.forEach { judge(it) }
+    }
+
+    /** Sends recent counters and an unfinished stop again, in case messages were lost. */
+    private fun MutableList<MoveAction>.repeat(move: KnownMove, now: Now) {
+        val record = move.record
+        move.stop?.let {
+            if (record.state != MoveState.ROLLED_BACK) add(stopMessage(move, it))
+        }
+        if (record.state != MoveState.RUNNING || now.wall < record.start) return
+        val oldest = (now.wall - record.start - settings.repeatInterval * REPEATS) / move.period
+        report(move) { it.period >= oldest }
+    }
+
+    private fun MutableList<MoveAction>.report(
+        move: KnownMove,
+        select: (CellKey) -> Boolean = { it in move.unsent }
+    ) {
+        val cells = move.evidence.reports(self, select)
+        move.unsent.clear()
+        if (cells.isEmpty() || peers.isEmpty()) return
+        val message =
+            MoveMessage.EvidenceReport(move.record.route, move.record.number, cells)
+        add(MoveAction.SendToPeers(message))
+    }
+
+    private fun stopMessage(move: KnownMove, cause: RollbackCause): MoveAction =
+        MoveAction.SendToPeers(MoveMessage.Stop(move.record.route, move.record.number, cause))
+
+    private companion object {
+        // A counter is sent again this many times; a peer then misses it only in a partition, and
+        // the end of a partition causes a full report.
+        const val REPEATS = 3
+    }
+}
+
+internal fun notice(record: MoveRecord, revision: Long): MoveAction =
+    MoveAction.SendToPeers(MoveMessage.RecordNotice(record, revision))
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/Tally.kt
@@ -0,0 +1,77 @@
+/*
+ * The counters of one version under one set of conditions. Counters only grow, so two copies of the
+ * same router's counters merge by the larger value of each.
+ */
+package org.hemlockpond.core.moves
+
+import kotlin.math.ceil
+import kotlin.math.log2
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.DurationUnit
+
+/**
+ * Counters by index: completed attempts, failed attempts, times to first token by bucket, times
+ * between tokens by bucket. A bucket spans half an octave.
+ */
+internal class Tally(val counts: IntArray = IntArray(SIZE)) {
+    fun add(result: OutcomeResult) {
+        counts[indexOf(result)]++
+    }
+
+    fun add(other: Tally) {
+        for (i in counts.indices) counts[i] += other.counts[i]
+    }
+
+    /** The bad and all samples of [metric]; a latency is bad if its bucket is over [bucket]. */
+    fun bad(metric: Metric, bucket: Int): Int = when (metric) {
+        Metric.FAILURES -> counts[FAILED]
+        else -> (bucket + 1 until BUCKETS).sumOf { counts[firstIndex(metric) + it] }
+    }
+
+    fun total(metric: Metric): Int = when (metric) {
+        Metric.FAILURES -> counts[COMPLETED] + counts[FAILED]
+        else -> (0 until BUCKETS).sumOf { counts[firstIndex(metric) + it] }
+    }
+
+    fun bucket(metric: Metric, bucket: Int): Int = counts[firstIndex(metric) + bucket]
+
+    fun toMap(): Map<Int, Int> =
+        counts.indices.filter { counts[it] != 0 }.associateWith { counts[it] }
+
+    companion object {
+        const val BUCKETS = 24
+        const val SIZE = 2 + 2 * BUCKETS
+        private const val COMPLETED = 0
+        private const val FAILED = 1
+
+        // The upper ends of the lowest buckets; the highest bucket begins 2^11.5 times higher.
+        private val lowestFirstToken = 10.milliseconds
+        private val lowestGap = 1.milliseconds
+
+        private fun firstIndex(metric: Metric): Int = when (metric) {
+            Metric.FAILURES -> 0
+            Metric.FIRST_TOKEN -> 2
+            Metric.TOKEN_GAP -> 2 + BUCKETS
+        }
+
+        private fun bucketOf(value: Duration, lowest: Duration): Int {
+            val ratio = value.toDouble(DurationUnit.NANOSECONDS) /
+                lowest.toDouble(DurationUnit.NANOSECONDS)
+            if (ratio <= 1.0) return 0
+            return ceil(2 * log2(ratio)).toInt().coerceAtMost(BUCKETS - 1)
+        }
+
+        fun indexOf(result: OutcomeResult): Int = when (result) {
+            OutcomeResult.Completed -> COMPLETED
+
+            OutcomeResult.Failed -> FAILED
+
+            is OutcomeResult.FirstToken ->
+                firstIndex(Metric.FIRST_TOKEN) + bucketOf(result.after, lowestFirstToken)
+
+            is OutcomeResult.TokenGap ->
+                firstIndex(Metric.TOKEN_GAP) + bucketOf(result.mean, lowestGap)
+        }
+    }
+}
