Add membership by proof of death and the configuration state

A silent router only becomes unreachable; death needs a refused connection, another incarnation that answers at its address, lease expiry or an operator. A router's own claim of an address was ruled out as a proof: two hosts set to one address would have buried each other.

--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/configuration/ConfigState.kt
@@ -0,0 +1,109 @@
+/*
+ * The configuration that a router has in force. Entries come from the store's watch and from peers,
+ * in any order and any number of times. For each key the higher store revision wins, deletions
+ * included, so that the state only moves forward whatever the path of an entry.
+ */
+package org.hemlockpond.core.configuration
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hemlockpond.core.Contract
+import org.hemlockpond.core.FleetConfig
+
+/**
+ * One configuration entry of the store.
+ *
+ * @property value the JSON text, or null if the key was deleted
+ * @property revision the store revision of the change
+ */
+@Serializable
+data class ConfigEntry(val key: String, val value: String?, val revision: Long)
+
+/**
+ * What a batch of entries changed.
+ *
+ * @property applied whether any entry was newer than the one in force
+ * @property invalid keys whose new value can't be decoded; their last good value stays in force
+ */
+data class ConfigChange(val applied: Boolean, val invalid: List<String>)
+
+/** The entries in force, deletions included, and the [FleetConfig] that they make up. */
+class ConfigState {
+    private val entries = HashMap<String, ConfigEntry>()
+    private val contracts = sortedMapOf<String, Contract>()
+    private var fleet: FleetConfig? = null
+
+    /** The highest revision applied; 0 before the first entry. */
+    var revision: Long = 0
+        private set
+
+    /** The configuration in force; null until the fleet entry has arrived. */
+    val config: FleetConfig?
+        get() = fleet?.copy(contracts = contracts.values.toList())
+
+    /** Applies those of [batch] that are newer than the entries in force. */
+    fun apply(batch: List<ConfigEntry>): ConfigChange {
+        var applied = false
+        val invalid = mutableListOf<String>()
+        for (entry in batch) {
+            val known = entries[entry.key]
+            if (known != null && known.revision >= entry.revision) continue
+            entries[entry.key] = entry
+            revision = maxOf(revision, entry.revision)
+            applied = true
+            if (!decode(entry)) invalid += entry.key
+        }
+        return ConfigChange(applied, invalid)
+    }
+
+    /**
+     * Replaces the state by a complete read of the store at [readRevision]: keys that are absent
+     * from [values] were deleted at some revision up to it.
+     */
+    fun applySnapshot(values: List<ConfigEntry>, readRevision: Long): ConfigChange {
+        val present = values.mapTo(HashSet()) { it.key }
+        val deleted = entries.values
+            .filter { it.value != null && it.key !in present && it.revision <= readRevision }
+            .map { ConfigEntry(it.key, null, readRevision) }
+        return apply(values + deleted)
+    }
+
+    /** The entries that changed after [after], for a peer that is behind. */
+    fun since(after: Long): List<ConfigEntry> = entries.values.filter { it.revision > after }
+
+    private fun decode(entry: ConfigEntry): Boolean {
+        try {
+            when {
+                entry.key == FLEET_KEY -> fleet = entry.value?.let { decodeFleet(it) } ?: fleet
+
+                entry.key.startsWith(CONTRACT_PREFIX) -> {
+                    val value = entry.value
+                    if (value == null) {
+                        contracts.remove(entry.key)
+                    } else {
+                        contracts[entry.key] = json.decodeFromString(Contract.serializer(), value)
+                    }
+                }
+            }
+            return true
+        } catch (_: SerializationException) {
+            return false
+        } catch (_: IllegalArgumentException) {
+            return false
+        }
+    }
+
+    private fun decodeFleet(value: String): FleetConfig =
+        json.decodeFromString(FleetConfig.serializer(), value)
+
+    companion object {
+        /** The prefix of all configuration keys in the store. */
+        const val PREFIX = "hemlockpond/config/"
+        private const val FLEET_KEY = PREFIX + "fleet"
+        private const val CONTRACT_PREFIX = PREFIX + "contracts/"
+
+        // A router of an older release must take entries of a newer one during an upgrade.
+        private val json = Json { ignoreUnknownKeys = true }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/membership/Membership.kt
@@ -0,0 +1,201 @@
+/*
+ * Which routers are reachable, and which are proven dead. Silence proves nothing: a silent router
+ * may be paused or partitioned, and still spend what it holds. It only makes the router
+ * unreachable. The proofs of death are listed in DeathProof.
+ */
+package org.hemlockpond.core.membership
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RouterId
+
+/** An input of [Membership.handle]. */
+sealed interface MembershipEvent {
+    /**
+     * An authenticated heartbeat of [member].
+     *
+     * @property known the members that the sender knows, so that addresses spread
+     */
+    data class Heartbeat(val member: Member, val known: List<Member>, val configRevision: Long) :
+        MembershipEvent
+
+    /**
+     * The process that holds [address] proved in the handshake that it is [router]. What a router
+     * claims about its own address proves nothing: two hosts may be set to the same address.
+     */
+    data class Answered(val address: String, val router: RouterId) : MembershipEvent
+
+    /** A connection to [address] was refused by its host. */
+    data class ConnectionRefused(val address: String) : MembershipEvent
+
+    /** A proof from outside: the store's lease, an operator, or the router itself. */
+    data class ProvenDead(val router: RouterId, val proof: DeathProof) : MembershipEvent
+
+    /** Time passed; expected about twice in each heartbeat interval. */
+    data object Tick : MembershipEvent
+}
+
+/** An output of [Membership.handle]. */
+sealed interface MembershipAction {
+    /** Keep a connection to [address] from now on. */
+    data class Connect(val address: String) : MembershipAction
+
+    /** Send heartbeats to all peers. */
+    data object SendHeartbeats : MembershipAction
+
+    /** The members or their reachability changed. */
+    data class MembersChanged(val members: List<MemberView>) : MembershipAction
+
+    /** [router] never spends or dispatches again. */
+    data class RouterDied(val router: RouterId, val proof: DeathProof) : MembershipAction
+
+    /** [from] has a newer configuration. */
+    data class PullConfig(val from: RouterId) : MembershipAction
+
+    /** Whether this router watches the store for its failure domain. */
+    data class WatchStore(val watch: Boolean) : MembershipAction
+}
+
+/** A peer that isn't proven dead. */
+data class MemberView(val member: Member, val reachable: Boolean)
+
+/**
+ * Timing of [Membership].
+ *
+ * @property heartbeat the interval of heartbeats
+ * @property silence how long a router may be silent before it counts as unreachable
+ * @property pullAgain how long an unanswered configuration pull is waited for
+ */
+data class MembershipSettings(
+    val heartbeat: Duration = 500.milliseconds,
+    val silence: Duration = 2.seconds,
+    val pullAgain: Duration = 1.seconds
+)
+
+/** The routers that [self] knows. */
+class Membership(
+    private val self: Member,
+    private val settings: MembershipSettings = MembershipSettings()
+) {
+    private class Peer(val member: Member, var heard: Duration?) {
+        var reachable = false
+    }
+
+    private val peers = LinkedHashMap<RouterId, Peer>()
+    private val dead = LinkedHashMap<RouterId, DeathProof>()
+    private val connected = LinkedHashSet<String>()
+    private var lastHeartbeat: Duration? = null
+    private var lastPull: Duration? = null
+    private var watching: Boolean? = null
+
+    /** Set by the router after each change of its configuration. */
+    var configRevision: Long = 0
+
+    /** The peers that aren't proven dead. */
+    val members: List<MemberView> get() = peers.values.map { MemberView(it.member, it.reachable) }
+
+    fun handle(event: MembershipEvent, now: Now): List<MembershipAction> = buildList {
+        when (event) {
+            is MembershipEvent.Heartbeat -> onHeartbeat(event, now)
+            is MembershipEvent.Answered -> onAnswered(event)
+            is MembershipEvent.ConnectionRefused -> onRefused(event.address)
+            is MembershipEvent.ProvenDead -> bury(event.router, event.proof)
+            MembershipEvent.Tick -> onTick(now)
+        }
+        updateReachability(now)
+    }
+
+    /** Whether [router] is proven dead; its late messages are ignored. */
+    fun isDead(router: RouterId): Boolean = router in dead
+
+    private fun MutableList<MembershipAction>.onHeartbeat(
+        event: MembershipEvent.Heartbeat,
+        now: Now
+    ) {
+        val member = event.member
+        if (member.router == self.router || member.router in dead) return
+        val peer = peers[member.router] ?: adopt(member)
+        peer.heard = now.elapsed
+        event.known.forEach { learn(it) }
+        val pulled = lastPull
+        val due = pulled == null || now.elapsed - pulled >= settings.pullAgain
+        if (event.configRevision > configRevision && due) {
+            lastPull = now.elapsed
+            add(MembershipAction.PullConfig(member.router))
+        }
+    }
+
+    private fun MutableList<MembershipAction>.onAnswered(event: MembershipEvent.Answered) {
+        peers.values.filter { it.member.address == event.address }
+            .filter { it.member.router != event.router }
+            .forEach { bury(it.member.router, DeathProof.NEW_INCARNATION) }
+    }
+
+    /** Only an authenticated heartbeat makes a member. */
+    private fun MutableList<MembershipAction>.adopt(member: Member): Peer {
+        connect(member.address)
+        return Peer(member, heard = null).also { peers[member.router] = it }
+    }
+
+    /** Hearsay gives an address to connect to, never a member: it may be out of date. */
+    private fun MutableList<MembershipAction>.learn(member: Member) {
+        if (member.router != self.router && member.router !in dead) connect(member.address)
+    }
+
+    private fun MutableList<MembershipAction>.connect(address: String) {
+        if (address != self.address && connected.add(address)) {
+            add(MembershipAction.Connect(address))
+        }
+    }
+
+    private fun MutableList<MembershipAction>.onRefused(address: String) {
+        peers.values.filter { it.member.address == address }
+            .forEach { bury(it.member.router, DeathProof.CONNECTION_REFUSED) }
+    }
+
+    private fun MutableList<MembershipAction>.bury(router: RouterId, proof: DeathProof) {
+        if (router == self.router || router in dead) return
+        dead[router] = proof
+        if (dead.size > MAX_DEAD) dead.remove(dead.keys.first())
+        val known = peers.remove(router) != null
+        add(MembershipAction.RouterDied(router, proof))
+        if (known) add(MembershipAction.MembersChanged(members))
+    }
+
+    private fun MutableList<MembershipAction>.onTick(now: Now) {
+        val last = lastHeartbeat
+        if (last == null || now.elapsed - last >= settings.heartbeat) {
+            lastHeartbeat = now.elapsed
+            add(MembershipAction.SendHeartbeats)
+        }
+    }
+
+    private fun MutableList<MembershipAction>.updateReachability(now: Now) {
+        var changed = false
+        for (peer in peers.values) {
+            val heard = peer.heard
+            val reachable = heard != null && now.elapsed - heard <= settings.silence
+            if (reachable != peer.reachable) {
+                peer.reachable = reachable
+                changed = true
+            }
+        }
+        if (changed) add(MembershipAction.MembersChanged(members))
+        val lowest = peers.values.filter { it.reachable && it.member.domain == self.domain }
+            .none { it.member.router.value < self.router.value }
+        // A router that has just started waits for heartbeats before it opens a second watch.
+        val settled = now.elapsed >= settings.silence
+        val watch = lowest && (settled || peers.isEmpty())
+        if (watch != watching) {
+            watching = watch
+            add(MembershipAction.WatchStore(watch))
+        }
+    }
+
+    private companion object {
+        /** Remembered deaths; a router id is never used again, so forgetting one is harmless. */
+        const val MAX_DEAD = 10_000
+    }
+}
