Add the router process: callers, endpoints, peers, store and operators

The control thread owns the decision components and carries out their actions; one traffic thread carries callers and endpoints, so that the bytes of a stream never cross threads.

--- a/core/src/main/kotlin/org/hemlockpond/core/configuration/ConfigState.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/configuration/ConfigState.kt
@@ -10,6 +10,7 @@
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.Contract
 import org.hemlockpond.core.FleetConfig
+import org.hemlockpond.core.RouterId
 
 /**
  * One configuration entry of the store.
@@ -42,6 +43,11 @@
     val config: FleetConfig?
         get() = fleet?.copy(contracts = contracts.values.toList())
 
+    /** Routers whose hosts an operator declared gone. */
+    val goneRouters: Set<RouterId>
+        get() = entries.values.filter { it.value != null && it.key.startsWith(GONE_PREFIX) }
+            .mapTo(HashSet()) { RouterId(it.key.removePrefix(GONE_PREFIX)) }
+
     /** Applies those of [batch] that are newer than the entries in force. */
     fun apply(batch: List<ConfigEntry>): ConfigChange {
         var applied = false
@@ -102,6 +108,7 @@
         const val PREFIX = "hemlockpond/config/"
         private const val FLEET_KEY = PREFIX + "fleet"
         private const val CONTRACT_PREFIX = PREFIX + "contracts/"
+        private const val GONE_PREFIX = PREFIX + "gone/"
 
         // A router of an older release must take entries of a newer one during an upgrade.
         private val json = Json { ignoreUnknownKeys = true }
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -0,0 +1,68 @@
+/*
+ * The numbered events that the router logs. docs/events.md lists them; a test compares both.
+ */
+package org.hemlockpond.router
+
+import org.slf4j.Logger
+import org.slf4j.LoggerFactory
+import org.slf4j.event.Level
+
+/**
+ * A kind of log event. Numbers are never reused.
+ *
+ * @property number the number shown as `HP` and four digits
+ */
+internal enum class LogEvent(val number: Int, val level: Level, val text: String) {
+    ROUTER_STARTED(1001, Level.INFO, "router started"),
+    ROUTER_DRAINING(1002, Level.INFO, "shutdown requested; new requests are refused"),
+    ROUTER_STOPPED(1003, Level.INFO, "router stopped"),
+    DRAIN_TIMEOUT(1004, Level.WARN, "requests were still open when the drain time ended"),
+    FENCED(1005, Level.ERROR, "another router closed a budget slice of this router"),
+    CONTROL_FAILED(1006, Level.ERROR, "a control event failed"),
+
+    PEER_CONNECTED(1101, Level.INFO, "peer connected"),
+    PEER_UNREACHABLE(1102, Level.WARN, "peer unreachable"),
+    PEER_DEAD(1103, Level.WARN, "peer proven dead"),
+    PEER_REFUSED(1104, Level.WARN, "a connection failed the peer handshake"),
+    PEER_FRAME_REFUSED(1105, Level.WARN, "a peer frame was refused and its connection closed"),
+
+    STORE_UNREACHABLE(1201, Level.WARN, "platform store unreachable"),
+    STORE_REACHABLE(1202, Level.INFO, "platform store reachable again"),
+    WATCH_STARTED(1203, Level.INFO, "this router watches the store for its failure domain"),
+    WATCH_ENDED(1204, Level.INFO, "the watch of the store ended"),
+    RECORD_INVALID(1205, Level.ERROR, "a stored record can't be decoded"),
+
+    CONFIG_APPLIED(1301, Level.INFO, "configuration in force"),
+    CONFIG_INVALID(1302, Level.ERROR, "a configuration entry can't be decoded; kept the last one"),
+
+    BILL(1401, Level.INFO, "request billed"),
+    REFUSED(1402, Level.INFO, "request refused"),
+    INTERRUPTED(1403, Level.WARN, "answer interrupted"),
+    CREDIT(1404, Level.INFO, "bill credited"),
+    USAGE_OVER_RESERVATION(1405, Level.WARN, "usage was above the reservation; the excess is free"),
+
+    ENDPOINT_FAILED(1501, Level.WARN, "endpoint attempt failed"),
+    ANSWER_DROPPED(1502, Level.WARN, "an answer that belongs to no attempt was dropped"),
+    ORDER_FAILED(1503, Level.WARN, "endpoint order failed"),
+
+    MOVE_DONE(1601, Level.INFO, "version move done"),
+    MOVE_ROLLED_BACK(1602, Level.WARN, "version move rolled back"),
+    CONTROLLER(1603, Level.INFO, "this router controls version moves"),
+
+    REQUEST_MALFORMED(1701, Level.DEBUG, "malformed request"),
+    OPERATOR_DENIED(1702, Level.WARN, "operator call without a valid token")
+    ;
+
+    /** The identifier in the log, such as `HP1001`. */
+    val id: String get() = "HP$number"
+}
+
+private val logger: Logger = LoggerFactory.getLogger("hemlockpond")
+
+/** Logs one event with its fields. Fields never hold keys, tokens of access or request content. */
+internal fun log(event: LogEvent, vararg fields: Pair<String, Any?>, cause: Throwable? = null) {
+    val builder = logger.atLevel(event.level).addKeyValue("event", event.id)
+    fields.forEach { (name, value) -> builder.addKeyValue(name, value) }
+    if (cause != null) builder.setCause(cause)
+    builder.log(event.text)
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -0,0 +1,190 @@
+/*
+ * Carries out the store calls that the decision components ask for and reports their results to the
+ * control thread.
+ */
+package org.hemlockpond.router.store
+
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouteId
+import org.hemlockpond.core.budget.BudgetAction
+import org.hemlockpond.core.budget.BudgetEvent
+import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.core.budget.WriteOutcome
+import org.hemlockpond.core.ledger.LedgerAction
+import org.hemlockpond.core.ledger.LedgerEvent
+import org.hemlockpond.core.ledger.RunRead
+import org.hemlockpond.core.ledger.RunRecord
+import org.hemlockpond.core.ledger.RunWriteOutcome
+import org.hemlockpond.core.moves.MoveAction
+import org.hemlockpond.core.moves.MoveEvent
+import org.hemlockpond.core.moves.MoveRecord
+import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.platform.PlatformClient
+import org.hemlockpond.platform.ReadResult
+import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.router.Decisions
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.log
+
+/**
+ * @param post runs code on the control thread
+ * @param reachable told on the control thread when calls begin to fail or to succeed again
+ */
+internal class StoreWorker(
+    private val client: PlatformClient,
+    private val scope: CoroutineScope,
+    private val decisions: Decisions,
+    private val post: (() -> Unit) -> Unit,
+    private val reachable: (Boolean) -> Unit
+) {
+    private val failures = AtomicInteger()
+
+    fun readBudget(action: BudgetAction.ReadRecord) = scope.launch {
+        val read = client.read(budgetKey(action.customer))
+        seen(read !is ReadResult.Unavailable)
+        val values = (read as? ReadResult.Values)?.values ?: return@launch
+        val stored = values.firstOrNull()
+        val record = stored?.let { decode(BudgetRecord.serializer(), it.key, it.value) }
+        if (stored != null && record == null) return@launch
+        val event =
+            BudgetEvent.RecordRead(action.customer, stored?.revision ?: 0, record ?: BudgetRecord())
+        post { decisions.budget(event) }
+    }
+
+    fun writeBudget(action: BudgetAction.WriteRecord) = scope.launch {
+        val value = json.encodeToString(BudgetRecord.serializer(), action.record)
+        val write = ConditionalWrite(budgetKey(action.customer), action.expectedRevision, value)
+        val result = client.commit(listOf(write))
+        seen(result.answered)
+        val outcome = when (result) {
+            is WriteResult.Applied -> WriteOutcome.Applied(result.revision)
+            is WriteResult.Conflict -> WriteOutcome.Conflict
+            is WriteResult.NotSent, is WriteResult.Unknown -> WriteOutcome.Unknown
+        }
+        val event = BudgetEvent.RecordWritten(action.customer, action.sequence, outcome)
+        post { decisions.budget(event) }
+    }
+
+    fun writeRuns(action: LedgerAction.WriteRunRecords) = scope.launch {
+        val writes = action.writes.map {
+            val value = json.encodeToString(RunRecord.serializer(), it.record)
+            ConditionalWrite(runKey(it.request), it.expectedRevision, value)
+        }
+        val results = client.commitEach(writes)
+        seen(results.all { it.answered })
+        val outcomes = action.writes.zip(results).associate { (write, result) ->
+            write.request to when (result) {
+                is WriteResult.Applied -> RunWriteOutcome.Applied(result.revision)
+                is WriteResult.Conflict -> RunWriteOutcome.Conflict
+                is WriteResult.NotSent, is WriteResult.Unknown -> RunWriteOutcome.Unknown
+            }
+        }
+        post { decisions.ledger(LedgerEvent.RunRecordsWritten(action.number, outcomes)) }
+    }
+
+    fun readRun(action: LedgerAction.ReadRunRecord) = scope.launch {
+        val read = client.read(runKey(action.request))
+        seen(read !is ReadResult.Unavailable)
+        val result = when (read) {
+            is ReadResult.Unavailable -> RunRead.Failed
+
+            is ReadResult.Values -> {
+                val stored = read.values.firstOrNull()
+                val record = stored?.let { decode(RunRecord.serializer(), it.key, it.value) }
+                when {
+                    stored == null -> RunRead.Absent
+                    record == null -> RunRead.Failed
+                    else -> RunRead.Found(record, stored.revision)
+                }
+            }
+        }
+        post { decisions.ledger(LedgerEvent.RunRecordRead(action.request, result)) }
+    }
+
+    fun readMove(action: MoveAction.ReadRecord) = scope.launch {
+        val read = client.read(MoveRecord.key(action.route))
+        seen(read !is ReadResult.Unavailable)
+        val values = (read as? ReadResult.Values)?.values ?: return@launch
+        moveRead(action.route, values.firstOrNull()?.value, values.firstOrNull()?.revision ?: 0)
+    }
+
+    /** A move record from a read or a watch. */
+    fun moveRead(route: RouteId, value: String?, revision: Long) {
+        val record = value?.let { decode(MoveRecord.serializer(), MoveRecord.key(route), it) }
+        if (value != null && record == null) return
+        post { decisions.moves(MoveEvent.RecordRead(route, record, revision)) }
+    }
+
+    fun writeMove(action: MoveAction.WriteRecord) = scope.launch {
+        val value = json.encodeToString(MoveRecord.serializer(), action.record)
+        val write = ConditionalWrite(MoveRecord.key(action.route), action.expectedRevision, value)
+        val result = client.commit(listOf(write))
+        seen(result.answered)
+        val event = when (result) {
+            is WriteResult.Applied -> MoveEvent.RecordWritten(
+                action.route,
+                org.hemlockpond.core.moves.WriteOutcome.APPLIED,
+                result.revision
+            )
+
+            is WriteResult.Conflict -> MoveEvent.RecordWritten(
+                action.route,
+                org.hemlockpond.core.moves.WriteOutcome.CONFLICT
+            )
+
+            is WriteResult.NotSent, is WriteResult.Unknown -> MoveEvent.RecordWritten(
+                action.route,
+                org.hemlockpond.core.moves.WriteOutcome.UNKNOWN
+            )
+        }
+        post { decisions.moves(event) }
+    }
+
+    /** Notes whether a store call was answered; other users of the store report here too. */
+    fun seen(answered: Boolean) {
+        val before = failures.get()
+        val after = if (answered) 0 else before + 1
+        failures.set(after)
+        if (before < FAILURES_UNREACHABLE && after >= FAILURES_UNREACHABLE) {
+            log(LogEvent.STORE_UNREACHABLE)
+            post { reachable(false) }
+        } else if (before >= FAILURES_UNREACHABLE && after == 0) {
+            log(LogEvent.STORE_REACHABLE)
+            post { reachable(true) }
+        }
+    }
+
+    private fun <T> decode(type: KSerializer<T>, key: String, value: String): T? = try {
+        json.decodeFromString(type, value)
+    } catch (e: SerializationException) {
+        log(LogEvent.RECORD_INVALID, "key" to key, "reason" to e.message?.lineSequence()?.first())
+        null
+    } catch (e: IllegalArgumentException) {
+        log(LogEvent.RECORD_INVALID, "key" to key, "reason" to e.message?.lineSequence()?.first())
+        null
+    }
+
+    private val WriteResult.answered: Boolean
+        get() = this is WriteResult.Applied || this is WriteResult.Conflict
+
+    companion object {
+        /** One lost answer is common; two in a row are an outage. */
+        private const val FAILURES_UNREACHABLE = 2
+
+        private val json = Json {
+            ignoreUnknownKeys = true
+            encodeDefaults = true
+        }
+
+        fun budgetKey(customer: CustomerId): String = "hemlockpond/budgets/$customer"
+
+        fun runKey(request: RequestId): String = "hemlockpond/runs/$request"
+    }
+}
--- a/standins/src/main/kotlin/org/hemlockpond/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/EngineStandIn.kt
@@ -109,7 +109,7 @@
             return
         }
         fencing = number
-        behaviour = behaviour.copy(version = order.getValue("version").jsonPrimitive.content)
+        order["version"]?.let { behaviour = behaviour.copy(version = it.jsonPrimitive.content) }
         exchange.answer(200, """{"version":"${behaviour.version}"}""")
     }
 
--- a/standins/src/main/kotlin/org/hemlockpond/standins/Main.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/Main.kt
@@ -54,5 +54,6 @@
     }
 }
 
-fun main(args: Array<String>) =
-    StandIns().subcommands(StoreCommand(), EngineCommand(), ServiceCommand()).main(args)
+fun main(args: Array<String>) = StandIns()
+    .subcommands(StoreCommand(), EngineCommand(), ServiceCommand(), CallCommand())
+    .main(args)
