--- a/settings/src/main/kotlin/org/hemlockpond/settings/Decoder.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/Decoder.kt
@@ -98,6 +98,16 @@
         return fail(node, what + nearestHint(value, known))
     }
 
+    /**
+     * Reports each string of [list], or each string under [key] of its objects, that an earlier
+     * item has too. Items with other errors are compared as well.
+     */
+    fun uniqueStrings(list: Node?, key: String?, what: String) {
+        val items = (list as? ArrayNode)?.items.orEmpty()
+        val nodes = if (key == null) items else items.mapNotNull { it.member(key) }
+        unique(nodes.filterIsInstance<StringNode>().map { it to it.value }, what)
+    }
+
     /** Reports each node after the first with the same key. */
     fun <K> unique(items: List<Pair<Node, K>>, what: String) {
         val first = HashMap<K, Node>()
@@ -109,6 +119,10 @@
     }
 }
 
+internal fun Node.member(key: String): Node? = (this as? ObjectNode)?.members?.get(key)?.value
+
+internal fun Node.string(key: String): String? = (member(key) as? StringNode)?.value
+
 /** The members of one object. */
 internal class Fields(private val decoder: Decoder, val node: ObjectNode) {
     private val known = LinkedHashSet<String>()
@@ -122,7 +136,7 @@
         val value = find(key)
         if (value != null) return decode(value)
         val at = node.position
-        return decoder.fail(at, "no key \"$key\"", "the key \"$key\"")
+        return decoder.fail(at, "no key \"$key\"", "the key \"$key\", which has no default")
     }
 
     /** The decoded value, or [default] if the key is absent or its value is in error. */
--- a/settings/src/main/kotlin/org/hemlockpond/settings/FleetReader.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/FleetReader.kt
@@ -24,9 +24,6 @@
 internal data class Fleet(val config: FleetConfig, val complete: Boolean)
 
 internal class FleetReader(private val decoder: Decoder) {
-    private data class Item<T>(val node: ObjectNode, val value: T) {
-        fun at(key: String): Node = node.members[key]?.value ?: node
-    }
 
     fun read(node: Node): Fleet? = decoder.fields(node) { fields ->
         val domains = fields.required("domains", ::domains)
@@ -34,33 +31,30 @@
         val routes = fields.required("routes") { items(it, ::route) }
         val routeNodes = (fields.find("routes") as? ArrayNode)?.items.orEmpty()
         val complete = routes != null && routes.size == routeNodes.size
-        decoder.unique(routes.orEmpty().map { it.at("id") to it.value.id }, "a route id")
-        val known = routes.takeIf { complete }?.associate { it.value.id.value to it.value }
+        decoder.uniqueStrings(fields.find("routes"), "id", "a route id")
+        val known = routes.takeIf { complete }?.associateBy { it.id.value }
         val endpoints = fields.optional("endpoints", emptyList()) { list ->
             items(list) { endpoint(it, domains, known) }
         }
-        checkEndpoints(endpoints, routes.takeIf { complete }.orEmpty())
+        checkEndpoints(fields.find("endpoints"), routeNodes)
         val config = FleetConfig(
             domains = domains.orEmpty().map(::FailureDomain),
             classes = classes,
-            routes = routes.orEmpty().map { it.value },
-            endpoints = endpoints.map { it.value }
+            routes = routes.orEmpty(),
+            endpoints = endpoints
         )
         Fleet(config, complete)
     }
 
-    private fun <T : Any> items(node: Node, decode: (Fields) -> T?): List<Item<T>>? =
-        decoder.list(node) { item ->
-            decoder.fields(item) { fields -> decode(fields)?.let { Item(fields.node, it) } }
-        }
+    private fun <T : Any> items(node: Node, decode: (Fields) -> T?): List<T>? =
+        decoder.list(node) { item -> decoder.fields(item, decode) }
 
     private fun domains(node: Node): Set<String>? {
-        val names = decoder.list(node) { item -> decoder.name(item)?.let { item to it } }
-            ?: return null
-        decoder.unique(names, "a failure domain")
+        val names = decoder.list(node, decoder::name) ?: return null
+        decoder.uniqueStrings(node, null, "a failure domain")
         val items = (node as ArrayNode).items
         if (items.isEmpty()) return decoder.fail(node, "at least one domain", "an empty array")
-        return names.map { it.second }.toSet().takeIf { names.size == items.size }
+        return names.toSet().takeIf { names.size == items.size }
     }
 
     private fun classes(node: Node): List<RequestClass>? {
@@ -75,15 +69,15 @@
                 RequestClass(name, prompt, queue.inWholeMilliseconds, weight)
             }
         } ?: return null
-        decoder.unique(classes.map { it.at("name") to it.value.name }, "a class name")
-        for ((smaller, larger) in classes.zipWithNext()) {
-            if (larger.value.maxPromptTokens > smaller.value.maxPromptTokens) continue
+        decoder.uniqueStrings(node, "name", "a class name")
+        val bounds = (node as ArrayNode).items.mapNotNull { it.member("maxPromptTokens") }
+            .mapNotNull { n -> (n as? NumberNode)?.text?.toLongOrNull()?.let { n to it } }
+        for ((smaller, larger) in bounds.zipWithNext()) {
             // Classes are tried in declared order, so such a class would get no request.
-            val bound = smaller.value.maxPromptTokens
-            val name = smaller.value.name
-            decoder.fail(larger.at("maxPromptTokens"), "more than $bound, the bound of \"$name\"")
+            if (larger.second > smaller.second) continue
+            decoder.fail(larger.first, "more than ${smaller.second}, the bound of the class before")
         }
-        return classes.map { it.value }
+        return classes
     }
 
     private fun route(fields: Fields): RouteConfig? {
@@ -119,11 +113,11 @@
                 CallConfig(method, path, idempotent, tokens)
             }
         } ?: return null
-        decoder.unique(
-            calls.map { it.at("path") to (it.value.method to it.value.path) },
-            "a method and path"
-        )
-        return calls.map { it.value }
+        val named = (node as ArrayNode).items.mapNotNull { n ->
+            n.member("path")?.let { it to (n.string("method") to n.string("path")) }
+        }
+        decoder.unique(named, "a method and path")
+        return calls
     }
 
     private fun endpoint(
@@ -172,22 +166,18 @@
         )
     }
 
-    private fun checkEndpoints(
-        endpoints: List<Item<EndpointConfig>>,
-        routes: List<Item<RouteConfig>>
-    ) {
-        decoder.unique(endpoints.map { it.at("id") to it.value.id }, "an endpoint id")
-        decoder.unique(
-            endpoints.map { it.at("address") to SocketAddress(it.value.host, it.value.port) },
-            "an address"
-        )
+    /** Compares nodes, so that an endpoint with another error doesn't cause errors elsewhere. */
+    private fun checkEndpoints(list: Node?, routes: List<Node>) {
+        decoder.uniqueStrings(list, "id", "an endpoint id")
+        decoder.uniqueStrings(list, "address", "an address")
+        val endpoints = (list as? ArrayNode)?.items.orEmpty()
         for (route in routes) {
-            val versions = endpoints.filter { it.value.route == route.value.id }
-                .map { it.value.version.value }.toSet()
-            val version = route.value.version.value
+            val version = route.string("version") ?: continue
+            val versions = endpoints.filter { it.string("route") == route.string("id") }
+                .mapNotNull { it.string("version") }
             if (versions.isEmpty() || version in versions) continue
             decoder.fail(
-                route.at("version"),
+                route.member("version") ?: route,
                 "a version that an endpoint of the route runs" + nearestHint(version, versions)
             )
         }
--- a/settings/src/main/kotlin/org/hemlockpond/settings/JsonTree.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/JsonTree.kt
@@ -155,7 +155,8 @@
             }
             root
         } catch (e: JsonProcessingException) {
-            errors += error(e.location, path, syntaxMessage(e), "valid JSON")
+            val at = e.location ?: parser.currentLocation()
+            errors += error(at, path, syntaxMessage(e), "valid JSON")
             null
         }
     }
@@ -229,12 +230,15 @@
     private fun error(at: JsonLocation?, path: String, found: String, expected: String) =
         SettingsError(file, at?.lineNr ?: 1, at?.columnNr ?: 1, path, found, expected)
 
-    /** The parser's own message without its position, which the error carries already. */
-    private fun syntaxMessage(e: JsonProcessingException): String =
-        "malformed JSON (${e.originalMessage.lineSequence().first().take(MAX_MESSAGE)})"
+    /** The parser's own message without positions and names of its classes. */
+    private fun syntaxMessage(e: JsonProcessingException): String {
+        val message = e.originalMessage.lineSequence().first().replace(internals, "")
+        return "malformed JSON (${message.take(MAX_MESSAGE)})"
+    }
 
     private companion object {
         const val MAX_MESSAGE = 160
+        val internals = Regex(" \\(start marker at.*|, from `[^`]*`")
     }
 }
 
--- a/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
@@ -117,9 +117,8 @@
         peers: List<Pair<Node, PeerSettings>>,
         self: PeerSettings
     ) {
-        fun member(node: Node, key: String) = (node as ObjectNode).members.getValue(key).value
-        decoder.unique(peers.map { (n, p) -> member(n, "name") to p.name }, "a name")
-        decoder.unique(peers.map { (n, p) -> member(n, "address") to p.address }, "an address")
+        decoder.uniqueStrings(fields.find("peers"), "name", "a name")
+        decoder.uniqueStrings(fields.find("peers"), "address", "an address")
         for ((node, peer) in peers) {
             if (peer == self) continue
             if (peer.name == self.name || peer.address == self.address) {
@@ -127,17 +126,16 @@
                 decoder.fail(node, "this router as it is set up ($own) or another router", "$peer")
             }
         }
-        fields.find("peers")
     }
 
     private fun platform(node: Node): PlatformSettings? = decoder.fields(node) { fields ->
         val stores = fields.required("stores") { list ->
-            val addresses = decoder.list(list) { item -> decoder.address(item)?.let { item to it } }
-            addresses?.let { decoder.unique(it, "an address") }
+            val addresses = decoder.list(list, decoder::address)
+            decoder.uniqueStrings(list, null, "an address")
             if ((list as? ArrayNode)?.items?.isEmpty() == true) {
                 decoder.fail(list, "at least one address", "an empty array")
             }
-            addresses?.map { it.second }
+            addresses
         }
         val timeout = fields.optional("timeout", 2.seconds) {
             decoder.span(it, 10.milliseconds..1.minutes)
