--- a/settings/src/main/kotlin/org/hemlockpond/settings/ContractReader.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/ContractReader.kt
@@ -7,6 +7,11 @@
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RouteId
 
+private val paymentId = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+/** Whether [text] may be the id of a payment. */
+fun isPaymentId(text: String): Boolean = paymentId.matches(text)
+
 /**
  * @param fileName the file's name without `.json`
  * @param routes the declared routes; null if they are in error and can't be referred to
@@ -82,7 +87,7 @@
         val payments = sortedMapOf<String, Long>()
         var total = 0L
         for ((id, member) in node.members) {
-            if (!paymentId.matches(id)) {
+            if (!isPaymentId(id)) {
                 decoder.fail(member.keyPosition, "the payment id ${quoted(id)}", PAYMENT_EXPECTED)
             }
             val tokens = decoder.long(member.value, 1..MAX_TOKENS) ?: continue
@@ -97,11 +102,10 @@
         return payments
     }
 
-    internal companion object {
+    private companion object {
         private val digestPattern = Regex("[0-9a-f]{64}")
         private const val DIGEST_EXPECTED =
             "a SHA-256 digest of 64 lower-case hex digits, as \"hemlockpond key new\" prints it"
-        val paymentId = Regex("[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
         private const val PAYMENT_EXPECTED =
             "1 to 63 characters A-Z, a-z, 0-9, '.', '_' or '-' after a letter or digit"
     }
