Complete the dispatcher: shares, loans, health, queues, suspects and stream windows

The first dispatcher divided memory by the routers it saw and never retried, so routers that don't see one another could fill an endpoint past its memory, and one crashing request could take every endpoint in turn.

Memory is divided by the declared number of routers, not by those that are seen; parts that lie idle are lent by cumulative messages. Dividing by the live view was ruled out: a router that sees no peer would take the whole endpoint. Suspects get one further attempt in the whole fleet, claimed before it is made and run alone. Waiting for the verdict of a fixed owner was ruled out, because the owner may have lost its caller.

Found by the tests of this commit and corrected: - the shared bound of the stream window was passed by the reads that a pause can't stop (33,567,864 of 33,554,432 bytes with 1,000 readers); they are now counted until they deliver; - a run of three suspects waited for a free endpoint each time, so innocent requests passed their deadline; an endpoint that a trial has freed is now kept for the next one.

--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/EndpointState.kt
@@ -0,0 +1,135 @@
+/*
+ * What this router knows about one endpoint. Load reports lag, so the router's own requests in
+ * flight are counted exactly and a report only says what the other routers hold.
+ */
+package org.hemlockpond.core.routing
+
+import kotlin.time.Duration
+import org.hemlockpond.core.EndpointConfig
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+
+internal class EndpointState(
+    var config: EndpointConfig,
+    private val settings: RoutingSettings,
+    onProbation: Boolean,
+    /** Sources that say the endpoint is leaving, with the time at which each statement lapses. */
+    private val leaving: Map<LeavingSource, Duration>
+) {
+    val share = MemoryShare()
+    var health = EndpointHealth(settings, onProbation)
+        private set
+    val hash: Long = mix(config.id.value.hashCode().toLong())
+
+    /** Requests of this router that may run at once; a plain service's share says it already. */
+    var slots = Int.MAX_VALUE
+    var held = 0L
+        private set
+    var running = 0
+        private set
+    private var longHeld = 0L
+    private var longRunning = 0
+
+    /** Routers that run suspect content there, with the time at which each statement lapses. */
+    val isolatedBy = HashMap<RouterId, Duration>(0)
+
+    /** Whether this router runs suspect content there, or is about to. */
+    var isolated = false
+
+    /** A long request that has waited for long and gets this endpoint's next free memory. */
+    var reservedFor: RequestId? = null
+    var reservedCost = 0L
+    var lastBorrow = -Duration.INFINITE
+    var lastUse = Duration.ZERO
+    private var reported = 0L
+    private var ownAtReport = 0L
+    var reportAt = -Duration.INFINITE
+        private set
+
+    val isService: Boolean get() = config.memoryTokens <= 0L
+
+    /** Tokens, or requests of a plain service, that the endpoint holds without falling over. */
+    val capacity: Long get() = if (isService) config.maxRequests.toLong() else config.memoryTokens
+
+    /** The part of the capacity that is given out. */
+    val usable: Long
+        get() = if (isService) capacity else (capacity * (1 - settings.memoryReserve)).toLong()
+
+    fun cost(work: Work): Long = if (isService) 1 else work.promptTokens + work.maxAnswerTokens
+
+    fun report(heldTokens: Long, now: Duration) {
+        reported = heldTokens
+        ownAtReport = held
+        reportAt = now
+    }
+
+    /** What other routers held by the last report. */
+    fun others(now: Duration): Long {
+        if (now - reportAt > settings.reportValidity) return 0
+        return (reported - ownAtReport).coerceAtLeast(0)
+    }
+
+    fun load(now: Duration): Double = (others(now) + held).toDouble() / capacity
+
+    fun isLeaving(now: Duration): Boolean =
+        config.leaving || (leaving.isNotEmpty() && leaving.values.any { it > now })
+
+    /** Whether the endpoint takes new work, memory aside. */
+    fun accepts(now: Duration): Boolean =
+        !isolated && acceptsSuspect(now) && health.mayTake(running, now)
+
+    fun acceptsSuspect(now: Duration): Boolean = !isLeaving(now) &&
+        (isolatedBy.isEmpty() || isolatedBy.values.none { it > now }) &&
+        !health.isExcluded(now)
+
+    fun hasRoom(item: Item, now: Duration): Boolean {
+        val cost = cost(item.work)
+        val limit = share.limit
+        if (held + cost > limit || running >= slots) return false
+        if (others(now) + held + cost > usable) return false
+        val reserved = reservedFor
+        if (reserved == item.work.request) return true
+        val forLong = (limit * settings.longShare).toLong()
+        if (reserved != null) {
+            // Short requests go on in the part that long ones can't fill.
+            if (item.long || reservedCost > forLong) return false
+            return held - longHeld + cost <= limit - forLong
+        }
+        if (!item.long || longRunning == 0) return true
+        return longHeld + cost <= forLong && longRunning < slots * settings.longShare
+    }
+
+    /** Another version runs there, about which nothing is known. */
+    fun replaced() {
+        health = EndpointHealth(settings, onProbation = true)
+    }
+
+    fun start(item: Item, now: Duration) {
+        val cost = cost(item.work)
+        held += cost
+        running++
+        lastUse = now
+        if (item.long) {
+            longHeld += cost
+            longRunning++
+        }
+    }
+
+    fun end(item: Item) {
+        val cost = cost(item.work)
+        held -= cost
+        running--
+        if (item.long) {
+            longHeld -= cost
+            longRunning--
+        }
+    }
+}
+
+/** The finalizer of SplitMix64, which spreads the bits of a hash. */
+internal fun mix(value: Long): Long {
+    var z = value * -0x61c8864680b583ebL
+    z = (z xor (z ushr 30)) * -0x40a7b892e31b1a47L
+    z = (z xor (z ushr 27)) * -0x6b2fb644ecceee15L
+    return z xor (z ushr 31)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/RetryBudget.kt
@@ -0,0 +1,21 @@
+/*
+ * Bounds retries to a fraction of first attempts, so that retries can't multiply the load on
+ * endpoints that are failing because of load.
+ */
+package org.hemlockpond.core.routing
+
+import kotlin.math.min
+
+internal class RetryBudget(private val ratio: Double, private val burst: Double) {
+    private var saved = burst
+
+    fun firstAttempt() {
+        saved = min(burst, saved + ratio)
+    }
+
+    fun take(): Boolean {
+        if (saved < 1.0) return false
+        saved -= 1.0
+        return true
+    }
+}
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingMessage.kt
@@ -22,6 +22,10 @@
     REFUSED
 }
 
+/** How far a router is with the one further attempt that suspect content gets. */
+@Serializable
+enum class Claim { WANTED, RUNNING, ENDED }
+
 /** A message between the dispatchers of two routers. */
 @Serializable
 sealed interface RoutingMessage {
@@ -50,6 +54,11 @@
     data class Suspect(val contentDigest: String, val verdict: Verdict, val crashes: Int) :
         RoutingMessage
 
+    /** The sender claims the one further attempt for suspect content. */
+    @Serializable
+    @SerialName("claim")
+    data class ClaimAttempt(val contentDigest: String, val claim: Claim) : RoutingMessage
+
     /** The sender runs suspect content at this endpoint, or has ended that. */
     @Serializable
     @SerialName("isolate")
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingSettings.kt
@@ -22,6 +22,7 @@
  *   the first class finds room during a flood of long requests
  * @property loadBound how far above the mean an endpoint's load may be and still be chosen for its
  *   cached prefix
+ * @property freeLoad the load below which an endpoint is chosen for its cached prefix in any case
  * @property queueLimit the most requests that wait in one queue
  * @property priorityStep how much earlier one step of priority is served than its arrival
  * @property patience the part of its deadline that a request waits before one endpoint is kept
@@ -30,6 +31,8 @@
  * @property retryBurst retries that may be saved up
  * @property maxAttempts attempts of one request
  * @property failureRun failures in a row, of different content, that exclude an endpoint
+ * @property exclusionShare the part of a route's endpoints that may be excluded for error answers;
+ *   beyond it the requests are more likely at fault. Crashed endpoints are always excluded.
  * @property exclusion the first exclusion of an endpoint; doubles up to [exclusionLimit]
  * @property probationRequests requests at once that an endpoint on probation gets at first
  * @property probationSuccesses answers in a row that end probation
@@ -40,11 +43,17 @@
  * @property leavingLapse how long an endpoint's own statement that it is leaving holds
  * @property reportValidity the age at which a load report is no longer used
  * @property loanIdle how long a loan may lie idle before it is returned
+ * @property loanKeep the part of its own share that a lender keeps for itself
+ * @property borrowPeers the most routers that are asked for one loan
  * @property borrowInterval the shortest time between two requests for a loan at one endpoint
+ * @property repeatInterval the time between two sendings of a statement that others have to know
+ * @property repeats how often such a statement is sent after the first time
+ * @property statementLapse the age at which an isolation or a claim that isn't renewed is void
  * @property suspectDelay the wait before a suspect is tried again, in which the verdicts of other
  *   routers arrive
  * @property suspectMemory how long verdicts are kept
  * @property suspectLimit the most verdicts that are kept
+ * @property isolationShare the part of a route's endpoints that may run suspects at a time
  * @property isolationWait the longest wait for other routers' work to leave an endpoint that a
  *   suspect is to have alone
  */
@@ -56,6 +65,7 @@
     val memoryReserve: Double = 0.05,
     val longShare: Double = 0.85,
     val loadBound: Double = 1.25,
+    val freeLoad: Double = 0.25,
     val queueLimit: Int = 2_000,
     val priorityStep: Duration = 250.milliseconds,
     val patience: Double = 0.5,
@@ -63,6 +73,7 @@
     val retryBurst: Double = 10.0,
     val maxAttempts: Int = 3,
     val failureRun: Int = 3,
+    val exclusionShare: Double = 0.5,
     val exclusion: Duration = 1.seconds,
     val exclusionLimit: Duration = 1.minutes,
     val probationRequests: Int = 1,
@@ -73,9 +84,15 @@
     val leavingLapse: Duration = 1.minutes,
     val reportValidity: Duration = 5.seconds,
     val loanIdle: Duration = 500.milliseconds,
+    val loanKeep: Double = 0.125,
+    val borrowPeers: Int = 4,
     val borrowInterval: Duration = 100.milliseconds,
+    val repeatInterval: Duration = 1.seconds,
+    val repeats: Int = 3,
+    val statementLapse: Duration = 4.seconds,
     val suspectDelay: Duration = 500.milliseconds,
     val suspectMemory: Duration = 60.minutes,
     val suspectLimit: Int = 10_000,
-    val isolationWait: Duration = 5.seconds
+    val isolationShare: Double = 0.25,
+    val isolationWait: Duration = 2.seconds
 )
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/StreamWindow.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/StreamWindow.kt
@@ -49,15 +49,22 @@
 class StreamWindow(private val settings: StreamSettings = StreamSettings()) {
     private enum class State { READING, PAUSED, CANCELLED }
 
-    private class Stream(var received: Long, var written: Long) {
+    private class Stream(val request: RequestId, var received: Long, var written: Long) {
         var state = State.PAUSED
         var since: Duration = Duration.ZERO
         var ended = false
+
+        /** Whether the read that was under way at the pause may still deliver a piece. */
+        var late = false
         val held: Long get() = received - written
     }
 
     private val streams = LinkedHashMap<RequestId, Stream>()
+
+    /** Streams whose window has room again; they wait in this order for the shared bound. */
+    private val ready = LinkedHashSet<Stream>()
     private var readers = 0
+    private var lateReads = 0
 
     /** Bytes held for all streams. */
     var heldBytes: Long = 0
@@ -69,7 +76,10 @@
     /** Starts a stream at byte [offset] of its answer. It is read only after `ContinueReading`. */
     fun open(request: RequestId, now: Now, offset: Long = 0): List<StreamAction> {
         close(request, now)
-        streams[request] = Stream(offset, offset).also { it.since = now.elapsed }
+        val stream = Stream(request, offset, offset)
+        stream.since = now.elapsed
+        streams[request] = stream
+        ready += stream
         return admit(now)
     }
 
@@ -78,8 +88,13 @@
         val stream = streams[request] ?: return emptyList()
         stream.received += bytes
         heldBytes += bytes
-        if (stream.state != State.READING || mayRead(stream, 0)) return emptyList()
+        settleLate(stream)
+        if (stream.state != State.READING) return emptyList()
+        val ownRoom = stream.held + 2L * settings.pieceBytes <= settings.streamBytes
+        if (ownRoom && committed() <= settings.sharedBytes) return emptyList()
         pause(stream, now)
+        stream.late = true
+        lateReads++
         return listOf(StreamAction.PauseReading(request))
     }
 
@@ -87,6 +102,8 @@
     fun ended(request: RequestId, now: Now): List<StreamAction> {
         val stream = streams[request] ?: return emptyList()
         stream.ended = true
+        ready -= stream
+        settleLate(stream)
         if (stream.state == State.READING) pause(stream, now)
         return admit(now)
     }
@@ -96,6 +113,8 @@
         val stream = streams[request] ?: return emptyList()
         stream.written += bytes
         heldBytes -= bytes
+        val waits = !stream.ended && stream.state != State.READING
+        if (waits && stream.held <= settings.streamBytes / RESUME_DIVISOR) ready += stream
         return admit(now)
     }
 
@@ -103,6 +122,8 @@
     fun close(request: RequestId, now: Now): List<StreamAction> {
         val stream = streams.remove(request) ?: return emptyList()
         heldBytes -= stream.held
+        ready -= stream
+        settleLate(stream)
         if (stream.state == State.READING) readers--
         return admit(now)
     }
@@ -110,30 +131,33 @@
     /** Cancels the streams whose readers have been behind for [StreamSettings.stall]. */
     fun tick(now: Now): List<StreamAction> {
         val actions = ArrayList<StreamAction>()
-        for ((request, stream) in streams) {
-            if (stream.state != State.PAUSED || stream.ended || stream.held == 0L) continue
-            if (now.elapsed - stream.since < settings.stall) continue
+        for (stream in streams.values) {
+            val paused = now.elapsed - stream.since
+            if (stream.state != State.PAUSED || stream.ended) continue
+            if (paused >= LATE_READ) settleLate(stream)
+            if (paused < settings.stall || stream in ready) continue
             stream.state = State.CANCELLED
-            actions += StreamAction.CancelAtEngine(request)
+            actions += StreamAction.CancelAtEngine(stream.request)
         }
         return actions + admit(now)
     }
 
     /** Gives free credit to the streams that have waited longest. */
     private fun admit(now: Now): List<StreamAction> {
-        val actions = ArrayList<StreamAction>()
-        for ((request, stream) in streams) {
-            if (stream.ended || stream.state == State.READING) continue
-            if (stream.held > settings.streamBytes / 4 || !mayRead(stream, 1)) continue
-            val cancelled = stream.state == State.CANCELLED
+        val actions = ArrayList<StreamAction>(0)
+        while (ready.isNotEmpty()) {
+            if (committed() + 2L * settings.pieceBytes > settings.sharedBytes) break
+            val stream = ready.first()
+            ready -= stream
+            actions += if (stream.state == State.CANCELLED) {
+                StreamAction.ResumeFrom(stream.request, stream.received)
+            } else {
+                StreamAction.ContinueReading(stream.request)
+            }
+            settleLate(stream)
             stream.state = State.READING
             stream.since = now.elapsed
             readers++
-            actions += if (cancelled) {
-                StreamAction.ResumeFrom(request, stream.received)
-            } else {
-                StreamAction.ContinueReading(request)
-            }
         }
         return actions
     }
@@ -144,10 +168,23 @@
         readers--
     }
 
-    /** Two pieces: the one that this credit allows, and the read that a pause can't stop. */
-    private fun mayRead(stream: Stream, added: Int): Boolean {
-        val own = stream.held + 2L * settings.pieceBytes <= settings.streamBytes
-        val all = heldBytes + 2L * settings.pieceBytes * (readers + added)
-        return own && all <= settings.sharedBytes
+    private fun settleLate(stream: Stream) {
+        if (!stream.late) return
+        stream.late = false
+        lateReads--
+    }
+
+    /**
+     * What may be held if every read under way delivers: a reading stream counts with the piece
+     * that its credit allows and the one that a pause can't stop, a late read with one.
+     */
+    private fun committed(): Long = heldBytes + settings.pieceBytes * (2L * readers + lateReads)
+
+    private companion object {
+        /** Reading goes on when three quarters of the window are free, to resume less often. */
+        const val RESUME_DIVISOR = 4
+
+        /** A read that was under way at a pause has delivered by then. */
+        val LATE_READ = 1.seconds
     }
 }
--- a/core/src/test/kotlin/org/hemlockpond/core/routing/DispatcherTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/routing/DispatcherTest.kt
@@ -2,40 +2,162 @@
 
 import kotlin.test.Test
 import kotlin.test.assertEquals
-import kotlin.time.Duration
-import kotlin.time.Instant
-import org.hemlockpond.core.CustomerId
-import org.hemlockpond.core.EndpointConfig
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
 import org.hemlockpond.core.EndpointId
-import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FleetConfig
-import org.hemlockpond.core.Now
 import org.hemlockpond.core.RequestId
-import org.hemlockpond.core.RouteConfig
 import org.hemlockpond.core.RouteId
-import org.hemlockpond.core.RouteKind
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.VersionId
 
 class DispatcherTest {
+    private val router = RouterId("r1")
+
+    private fun bed(vararg names: String) = RoutingBed(
+        mapOf("r1" to "a"),
+        fleet(*names.map { endpoint(it) }.toTypedArray())
+    )
+
+    private fun List<RoutingAction>.dispatch() = filterIsInstance<RoutingAction.Dispatch>().single()
+
     /** Guards against an answer that reaches another caller's request. */
     @Test
-    fun mismatchedAnswerIsDropped() {
-        val domain = FailureDomain("a")
-        val route = RouteId("m")
-        val version = VersionId("1")
-        val endpoint = EndpointConfig(EndpointId("e"), route, version, domain, "127.0.0.1", 1, 90)
-        val now = Now(Duration.ZERO, Instant.fromEpochSeconds(0))
-        val dispatcher = Dispatcher(RouterId("r"), domain)
-        val routes = listOf(RouteConfig(route, RouteKind.MODEL, version))
-        val config = FleetConfig(routes = routes, endpoints = listOf(endpoint))
-        dispatcher.handle(RoutingEvent.ConfigChanged(config), now)
-        val work = Work(RequestId("q"), CustomerId("c"), route, contentDigest = "d")
-        val sent = dispatcher.handle(RoutingEvent.Submit(work), now)
-        val attempt = (sent.single() as RoutingAction.Dispatch).attempt
-        val other = RequestId("other")
-        val outcome = AttemptOutcome.Answered()
-        val actions = dispatcher.handle(RoutingEvent.Completed(attempt, other, outcome), now)
-        assertEquals<List<RoutingAction>>(listOf(RoutingAction.DropAnswer(attempt)), actions)
+    fun mismatchedAnswerIsDroppedAndTheRequestTriedAgain() {
+        val bed = bed("e1", "e2")
+        val first = bed.submit("r1", work("q")).dispatch()
+        val answer = AttemptOutcome.Answered()
+        val event = RoutingEvent.Completed(first.attempt, RequestId("other"), answer)
+        val actions = bed.handle(router, event)
+        assertEquals(RoutingAction.DropAnswer(first.attempt), actions.first())
+        assertTrue(actions.dispatch().endpoint != first.endpoint)
+        assertTrue(bed.completed.isEmpty())
+    }
+
+    /** Guards against a late answer that ends a request which is running elsewhere. */
+    @Test
+    fun lateAnswerAfterRetryIsDropped() {
+        val bed = bed("e1", "e2")
+        bed.boxes.values.forEach { it.mode = Mode.STALLS }
+        val first = bed.submit("r1", work("q")).dispatch()
+        bed.advance(6.seconds)
+        assertFalse(bed.dispatchers.getValue(router).isCurrent(first.attempt))
+        val late = AttemptOutcome.Answered()
+        val actions = bed.handle(
+            router,
+            RoutingEvent.Completed(first.attempt, RequestId("q"), late)
+        )
+        assertEquals<List<RoutingAction>>(listOf(RoutingAction.DropAnswer(first.attempt)), actions)
+        assertEquals(1, bed.dispatchers.getValue(router).running)
+    }
+
+    /** Guards against a graceful stop that interrupts accepted work or accepts more. */
+    @Test
+    fun drainRefusesNewWorkAndEndsAcceptedWork() {
+        val bed = bed("e1")
+        repeat(200) { bed.submit("r1", work("q$it", prompt = 900)) }
+        val dispatcher = bed.dispatchers.getValue(router)
+        assertTrue(dispatcher.waiting > 0)
+        bed.handle(router, RoutingEvent.Drain)
+        bed.submit("r1", work("late"))
+        assertEquals(ErrorKind.ROUTER_STOPPING, bed.rejected[RequestId("late")])
+        bed.serviceTime = { 100.milliseconds }
+        bed.advance(5.seconds)
+        assertEquals(200, bed.completed.size)
+        assertTrue(dispatcher.isIdle)
+    }
+
+    /** Guards against work for a leaving endpoint, whichever source says so. */
+    @Test
+    fun leavingEndpointGetsNoNewWorkFromAnyRouter() {
+        for (source in LeavingSource.entries) {
+            val routers = mapOf("r1" to "a", "r2" to "a", "r3" to "b")
+            val bed = RoutingBed(routers, fleet(endpoint("e1"), endpoint("e2")), loss = 0.3)
+            bed.introduce()
+            if (source == LeavingSource.CONFIGURATION) {
+                val left = bed.config.endpoints.map { it.copy(leaving = it.id.value == "e1") }
+                val event = RoutingEvent.ConfigChanged(bed.config.copy(endpoints = left))
+                bed.dispatchers.keys.forEach { bed.handle(it, event) }
+            } else {
+                bed.handle(router, RoutingEvent.EndpointLeaving(EndpointId("e1"), source))
+            }
+            val notice = bed.now
+            repeat(60) { i ->
+                routers.keys.forEach { bed.submit(it, work("$it-$i")) }
+                bed.advance(100.milliseconds)
+            }
+            val last = bed.boxes.getValue("e1").started.maxOfOrNull { it.first } ?: notice
+            assertTrue(last - notice <= 3.seconds, "$source: $last")
+            bed.advance(2.seconds)
+            assertEquals(180, bed.completed.size)
+        }
+    }
+
+    /** Guards against an untrue "not run" and against a second run of a call. */
+    @Test
+    fun callThatMustNotRepeatIsRetriedOnlyIfItWasNeverSent() {
+        val bed = bed("e1", "e2")
+        bed.boxes.getValue("e1").mode = Mode.DOWN
+        bed.boxes.getValue("e2").mode = Mode.DOWN
+        bed.submit("r1", work("unsent").copy(idempotent = false))
+        bed.boxes.values.single { it.running.isEmpty() }.mode = Mode.FAILS
+        bed.advance(100.milliseconds)
+        val sent = bed.boxes.values.sumOf { it.started.size }
+        assertEquals(2, sent)
+        assertEquals(ErrorKind.OUTCOME_UNKNOWN, bed.rejected[RequestId("unsent")])
+    }
+
+    /** Guards against "not run" for a request whose earlier attempt reached an endpoint. */
+    @Test
+    fun waitAfterAnAttemptEndsWithWhatTheAttemptDid() {
+        val bed = bed("e1")
+        bed.submit("r1", work("q"))
+        bed.crash(bed.boxes.getValue("e1"), restart = 60.seconds)
+        bed.submit("r1", work("fresh"))
+        bed.advance(20.seconds)
+        assertEquals(ErrorKind.ENDPOINT_FAILED, bed.rejected[RequestId("q")])
+        assertEquals(ErrorKind.NO_ENDPOINT, bed.rejected[RequestId("fresh")])
+    }
+
+    /** Guards against requests that wait for a route, endpoint or size that can't come. */
+    @Test
+    fun impossibleWorkIsRefusedAtOnce() {
+        val bed = bed("e1")
+        bed.submit("r1", work("large", prompt = 200_000))
+        bed.submit("r1", work("moved").copy(version = VersionId("9")))
+        bed.submit("r1", work("lost").copy(route = RouteId("none")))
+        val kinds = listOf("large", "moved", "lost").map { bed.rejected[RequestId(it)] }
+        val expected =
+            listOf(ErrorKind.REQUEST_TOO_LARGE, ErrorKind.NO_ENDPOINT, ErrorKind.UNKNOWN_ROUTE)
+        assertEquals(expected, kinds)
+        val blank = RoutingBed(mapOf("r1" to "a"), FleetConfig())
+        blank.submit("r1", work("q"))
+        assertEquals(ErrorKind.UNKNOWN_ROUTE, blank.rejected[RequestId("q")])
+    }
+
+    /** Guards against traffic between failure domains while the own one has room. */
+    @Test
+    fun otherDomainsServeOnlyWhatTheOwnHasNoRoomFor() {
+        val endpoints = fleet(endpoint("near", "a", 10_000), endpoint("far", "b", 100_000))
+        val bed = RoutingBed(mapOf("r1" to "a"), endpoints)
+        repeat(5) { bed.submit("r1", work("q$it", prompt = 400)) }
+        assertEquals(5, bed.boxes.getValue("near").started.size)
+        assertEquals(0, bed.boxes.getValue("far").started.size)
+        repeat(5) { bed.submit("r1", work("p$it", prompt = 400)) }
+        assertEquals(5, bed.boxes.getValue("far").started.size)
+    }
+
+    /** Guards against cached prefixes that are spread, and against a hot prefix on one endpoint. */
+    @Test
+    fun prefixStaysAtOneEndpointUntilItsLoadIsFarAboveTheMean() {
+        val bed = bed("e1", "e2", "e3", "e4")
+        bed.serviceTime = { 60.seconds }
+        repeat(5) { bed.submit("r1", work("q$it").copy(prefixDigest = "p")) }
+        assertEquals(1, bed.boxes.values.count { it.started.isNotEmpty() })
+        repeat(300) { bed.submit("r1", work("r$it").copy(prefixDigest = "p")) }
+        assertTrue(bed.boxes.values.all { it.held > 0 })
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/routing/QueueTest.kt
@@ -0,0 +1,92 @@
+package org.hemlockpond.core.routing
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.RequestId
+
+class QueueTest {
+    private fun bed() = RoutingBed(
+        mapOf("r1" to "a"),
+        fleet(endpoint("e1", memory = 200_000), endpoint("e2", memory = 200_000))
+    ).also { it.serviceTime = { work -> if (work.promptTokens > 1_000) 20.seconds else 1.seconds } }
+
+    /** Guards against quick questions that wait behind a flood of dossiers. */
+    @Test
+    fun quickRequestsPassAFloodOfLongOnes() {
+        val bed = bed()
+        repeat(100) { bed.submit("r1", work("long$it", prompt = 10_000)) }
+        repeat(200) {
+            bed.submit("r1", work("quick$it"))
+            bed.advance(100.milliseconds)
+        }
+        val waits = List(200) { bed.waits.getValue(RequestId("quick$it")) }
+        assertTrue(waits.max() < 100.milliseconds, "${waits.max()}")
+    }
+
+    /** Guards against a long request that waits for ever because quick ones take all room. */
+    @Test
+    fun longRequestIsServedDuringAFloodOfQuickOnes() {
+        val bed = RoutingBed(mapOf("r1" to "a"), fleet(endpoint("e1")))
+        bed.serviceTime = { 2.seconds }
+        var count = 0
+        repeat(20) {
+            repeat(6) { bed.submit("r1", work("quick${count++}", prompt = 900)) }
+            bed.advance(100.milliseconds)
+        }
+        bed.submit("r1", work("long", prompt = 20_000))
+        repeat(500) {
+            repeat(6) { bed.submit("r1", work("quick${count++}", prompt = 900)) }
+            bed.advance(100.milliseconds)
+        }
+        assertTrue(RequestId("long") in bed.completed)
+    }
+
+    /** Guards against requests that wait past their class's deadline, or are called not run late. */
+    @Test
+    fun requestIsRefusedAtItsDeadline() {
+        val bed = bed()
+        bed.serviceTime = { Duration.INFINITE }
+        repeat(300) { bed.submit("r1", work("quick$it", prompt = 900)) }
+        bed.advance(4_900.milliseconds)
+        assertTrue(bed.rejected.isEmpty())
+        bed.advance(200.milliseconds)
+        assertTrue(bed.rejected.isNotEmpty())
+        assertTrue(bed.rejected.values.all { it == ErrorKind.OVERLOADED })
+    }
+
+    /** Guards against classes whose weights have no effect. */
+    @Test
+    fun waitingClassesShareDispatchesByWeight() {
+        val queues = RouteQueues()
+        val items = List(100) { index ->
+            val requestClass = classes[index % 2]
+            val work = work("q$index")
+            Item(work, requestClass, false, index.toLong(), 0.seconds, 0.seconds, 9.seconds)
+        }
+        items.forEach { queues.add(it) }
+        val served = List(50) {
+            val queue = queues.next(0)!!
+            queue.items.first().also { item -> queues.taken(queue, item) }.requestClass.name
+        }
+        assertEquals(40, served.count { it == "quick" })
+    }
+
+    /** Guards against priorities that have no effect, or that starve others. */
+    @Test
+    fun priorityIsWorthAFixedWait() {
+        val bed = RoutingBed(mapOf("r1" to "a"), fleet(endpoint("e1", memory = 5_000)))
+        bed.submit("r1", work("running", prompt = 900))
+        bed.submit("r1", work("old", prompt = 900))
+        bed.advance(200.milliseconds)
+        bed.submit("r1", work("urgent", prompt = 900).copy(priority = 2))
+        bed.advance(100.milliseconds)
+        bed.submit("r1", work("plain", prompt = 900))
+        bed.advance(5.seconds)
+        assertEquals(listOf("running", "urgent", "old", "plain"), bed.completed.map { it.value })
+    }
+}
