--- a/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
@@ -46,6 +46,8 @@
     private val clock: RouterClock,
     private val listener: LeaseListener
 ) {
+    private val renewal = minOf(ROUTER_RENEWAL, routerLease / 3)
+
     /** Whether this router contends for the controller lease; one for each failure domain does. */
     @Volatile
     var contender = false
@@ -61,7 +63,7 @@
             val held = lease
             lease = if (held == null) register() else renew(held)
             if (lease != null) readRouters()
-            delay(if (lease == null) RETRY else ROUTER_RENEWAL)
+            delay(if (lease == null) RETRY else renewal)
         }
     }
 
