Complete the budget holder: placement, lending, closing, lease and drain

Cause: the first holder wrote the record for every request that its free tokens didn't cover and knew neither peers nor deaths.

The holder now grants in proportion to measured demand, reports and rebalances periodically, returns idle tokens near the end of a budget, lends, closes slices of dead routers, detects fencing, and drains.

Ruled out: lent kept in the lender's memory alone. The lender's death would free tokens that the borrower still spends. - Only a router that holds the lender's complete lent totals closes from a copy; others charge the whole grant after copylessDelay. - A refusal as exhausted needs a record read within the last second whose upper bound, unreported loans included, doesn't cover the request. Ruled out: the plain sum of used tokens.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -1,9 +1,14 @@
 /*
- * Spends from the slices that one router holds. This first version reads the record for each
- * request that its free tokens don't cover, and takes what the request needs.
+ * Spends from the slices that one router holds, and keeps the slices in step with demand.
+ *
+ * Every change of a record follows the same path: a read, a decision on that read alone, and a
+ * compare-and-swap on its revision. At most one read and one write of a record are awaited.
  */
 package org.hemlockpond.core.budget
 
+import java.util.PriorityQueue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FailureDomain
@@ -14,110 +19,319 @@
 /** The budget component of the router [self], which runs in [domain]. */
 class BudgetHolder(
     private val self: RouterId,
-    private val domain: FailureDomain,
+    domain: FailureDomain,
     private val settings: BudgetSettings = BudgetSettings()
 ) {
-    private class Account {
-        var slice: Slice? = null
-        var pending: Slice? = null
-        var spent = 0L
-        val reserved = mutableMapOf<RequestId, Long>()
-        val waiting = mutableListOf<Pair<BudgetEvent.Reserve, Now>>()
-        var sequence = 0L
-        val free get() = (slice?.granted ?: 0) - spent - reserved.values.sum()
-    }
+    private class Reservation(val account: Account, val tokens: Long)
+
+    private class Timer(val at: Duration, val account: Account)
 
-    private val accounts = mutableMapOf<CustomerId, Account>()
-    private var lease: Now? = null
+    private val actions = ArrayList<BudgetAction>()
+    private val accounts = HashMap<CustomerId, Account>()
+    private val reservations = HashMap<RequestId, Reservation>()
+    private val timers = PriorityQueue<Timer>(compareBy { it.at })
+    private val lease = Lease(settings)
+    private val placement = Placement(self, domain, settings)
+    private val sliceWriter = SliceWriter(self, domain, settings, placement)
+    private val dead = DeadRouters(settings)
+    private val lending = Lending(domain, settings, placement) { to, message ->
+        actions += BudgetAction.SendToPeer(to, message)
+    }
+    private var storeReachable = true
+    private var fenced = false
+    private var draining = false
+    private var drained = false
+    private var now = Now(Duration.ZERO, kotlin.time.Instant.DISTANT_PAST)
+    private val time: Duration get() = now.elapsed
 
     /** Applies [event] and returns what the router has to do, in order. */
-    fun handle(event: BudgetEvent, now: Now): List<BudgetAction> = when (event) {
-        is BudgetEvent.Reserve -> reserve(event, now)
+    fun handle(event: BudgetEvent, now: Now): List<BudgetAction> {
+        this.now = now
+        when (event) {
+            is BudgetEvent.Reserve -> reserve(event)
+            is BudgetEvent.Settle -> settle(event)
+            is BudgetEvent.RecordRead -> recordRead(event)
+            is BudgetEvent.RecordWritten -> recordWritten(event)
+            is BudgetEvent.StoreReachable -> reachable(event.reachable)
+            is BudgetEvent.LeaseRenewed -> lease.renewed(event.sent)
+            is BudgetEvent.PeerReceived -> peerReceived(event.from, event.message)
+            is BudgetEvent.PeersChanged -> peersChanged(event.routers)
+            is BudgetEvent.RouterDied -> routerDied(event)
+            BudgetEvent.Tick -> tick()
+            BudgetEvent.Drain -> drain()
+        }
+        return actions.toList().also { actions.clear() }
+    }
+
+    private fun account(customer: CustomerId): Account =
+        accounts.getOrPut(customer) { Account(customer, self, settings, time) }
+
+    private fun maySpend(): Boolean = !fenced && !draining && lease.held(now)
 
-        is BudgetEvent.Settle -> settle(event)
+    private fun reserve(event: BudgetEvent.Reserve) {
+        require(event.tokens >= 0) { "request ${event.request} reserves ${event.tokens} tokens" }
+        if (event.request in reservations) {
+            actions += BudgetAction.Reserved(event.request)
+            return
+        }
+        if (fenced || draining) {
+            actions += BudgetAction.Refused(event.request, ErrorKind.ROUTER_STOPPING)
+            return
+        }
+        val account = account(event.customer)
+        if (account.waiting.any { it.request == event.request }) return
+        account.waiting += Waiter(event.request, event.tokens, time, time + settings.grantWait)
+        work(account)
+    }
 
-        is BudgetEvent.RecordRead -> recordRead(event)
+    private fun settle(event: BudgetEvent.Settle) {
+        val reservation = reservations.remove(event.request)
+        if (reservation == null) {
+            accounts.values.forEach { account ->
+                account.waiting.removeIf { it.request == event.request }
+            }
+            return
+        }
+        val account = reservation.account
+        val used = event.used.coerceIn(0, reservation.tokens)
+        account.reserved -= reservation.tokens
+        account.spent += used
+        account.demand.add(used, time)
+        work(account)
+        checkDrained()
+    }
+
+    private fun recordRead(event: BudgetEvent.RecordRead) {
+        val account = accounts[event.customer] ?: return
+        val sent = account.reading ?: time - settings.storeTimeout
+        account.reading = null
+        when (account.observe(event.revision, event.record, sent)) {
+            Observation.STALE -> account.mustRead = true
 
-        is BudgetEvent.RecordWritten -> recordWritten(event, now)
+            Observation.FENCED -> fence()
 
-        is BudgetEvent.LeaseRenewed -> {
-            lease = event.sent
-            emptyList()
+            Observation.CURRENT -> {
+                account.mustRead = false
+                decide(account)
+            }
         }
+        work(account)
+        checkDrained()
+    }
 
-        BudgetEvent.Tick -> expire(now)
+    private fun recordWritten(event: BudgetEvent.RecordWritten) {
+        val account = accounts[event.customer] ?: return
+        account.written(event.sequence, event.outcome)
+        lending.release(account, maySpend())
+        work(account)
+        checkDrained()
+    }
+
+    private fun reachable(reachable: Boolean) {
+        storeReachable = reachable
+        if (reachable) accounts.values.forEach { work(it) }
+    }
+
+    private fun peerReceived(from: RouterId, message: BudgetMessage) {
+        when (message) {
+            is BudgetMessage.LoanRequest -> {
+                val account = accounts[message.customer]
+                if (account == null) {
+                    send(from, BudgetMessage.Loan(message.customer, 0))
+                } else {
+                    lending.lend(account, from, message, maySpend(), time)
+                    work(account)
+                }
+            }
+
+            is BudgetMessage.Loan -> {
+                val account = accounts[message.customer] ?: return
+                lending.receive(account, from, message)
+                work(account)
+            }
+
+            is BudgetMessage.LentTotals -> if (dead.note(from, message)) {
+                send(from, BudgetMessage.LentTotalsNoted(message.totals, message.complete))
+            }
+
+            is BudgetMessage.LentTotalsNoted -> {
+                lending.noted(from, message)
+                message.totals.keys.forEach { customer ->
+                    accounts[customer]?.let { lending.release(it, maySpend()) }
+                }
+            }
+        }
+    }
 
-        else -> emptyList()
+    private fun peersChanged(routers: Map<RouterId, FailureDomain>) {
+        placement.peers = (routers - self).size
+        lending.peersChanged(routers - self, time)
     }
 
-    private fun reserve(event: BudgetEvent.Reserve, now: Now): List<BudgetAction> {
-        val account = accounts.getOrPut(event.customer) { Account() }
-        account.waiting += event to now + settings.grantWait
-        val served = serve(account, now)
-        return if (account.waiting.isEmpty()) {
-            served
-        } else {
-            served + BudgetAction.ReadRecord(event.customer)
+    private fun routerDied(event: BudgetEvent.RouterDied) {
+        if (event.router == self) return
+        dead.died(event.router, event.copies, time)
+        lending.died(event.router)
+        event.copies?.keys?.forEach { account(it) }
+        for (account in accounts.values) {
+            val known = event.router in account.record.slices
+            if (known || event.copies?.containsKey(account.customer) == true) {
+                account.mustRead = true
+                work(account)
+            }
+            lending.release(account, maySpend())
         }
     }
 
-    private fun serve(account: Account, now: Now): List<BudgetAction> {
-        val sent = lease ?: return emptyList()
-        val age = maxOf(now.elapsed - sent.elapsed, now.wall - sent.wall)
-        if (age >= settings.routerLease - settings.leaseMargin) return emptyList()
-        val fitting = account.waiting.filter { (event, _) ->
-            val fits = event.tokens <= account.free
-            if (fits) account.reserved[event.request] = event.tokens
-            fits
+    private fun tick() {
+        lending.tick(time)
+        while (timers.isNotEmpty() && timers.peek().at <= time) {
+            val timer = timers.poll()
+            if (timer.account.timer != timer.at) continue
+            timer.account.timer = null
+            work(timer.account)
         }
-        account.waiting -= fitting.toSet()
-        return fitting.map { (event, _) -> BudgetAction.Reserved(event.request) }
+        checkDrained()
     }
 
-    private fun settle(event: BudgetEvent.Settle): List<BudgetAction> {
+    private fun drain() {
+        draining = true
         for (account in accounts.values) {
-            val reserved = account.reserved.remove(event.request) ?: continue
-            account.spent += event.used.coerceIn(0, reserved)
-        }
-        return emptyList()
-    }
-
-    private fun recordRead(event: BudgetEvent.RecordRead): List<BudgetAction> {
-        val account = accounts[event.customer] ?: return emptyList()
-        val needed = account.waiting.sumOf { (reserve, _) -> reserve.tokens }
-        if (account.pending != null || needed == 0L) return emptyList()
-        val current = event.record.slices[self] ?: Slice(domain)
-        val next = event.record.withSlice(
-            self,
-            current.copy(
-                granted = current.granted + needed,
-                spent = account.spent,
-                sequence = ++account.sequence
-            )
-        )
-        account.pending = next.slices[self]
-        return listOf(
-            BudgetAction.WriteRecord(event.customer, event.revision, next, account.sequence)
-        )
+            refuse(account, account.waiting.toList(), ErrorKind.ROUTER_STOPPING)
+            lending.cancel(account)
+            account.mustRead = true
+            work(account)
+        }
+        checkDrained()
     }
 
-    private fun recordWritten(event: BudgetEvent.RecordWritten, now: Now): List<BudgetAction> {
-        val account = accounts[event.customer] ?: return emptyList()
-        if (event.sequence != account.sequence) return emptyList()
-        val pending = account.pending
-        account.pending = null
-        if (event.outcome is WriteOutcome.Applied) {
-            account.slice = pending
-            return serve(account, now)
+    private fun fence() {
+        if (fenced) return
+        fenced = true
+        for (account in accounts.values) {
+            refuse(account, account.waiting.toList(), ErrorKind.ROUTER_STOPPING)
         }
-        return listOf(BudgetAction.ReadRecord(event.customer))
+        actions += BudgetAction.Fenced
     }
 
-    private fun expire(now: Now): List<BudgetAction> = accounts.values.flatMap { account ->
-        val late = account.waiting.filter { (_, deadline) -> deadline.elapsed <= now.elapsed }
-        account.waiting -= late.toSet()
-        late.map { (event, _) ->
-            BudgetAction.Refused(event.request, ErrorKind.BUDGET_UNREACHABLE)
+    /** Does everything that can be done for [account] now, and sets its timer. */
+    private fun work(account: Account) {
+        serve(account)
+        expire(account)
+        account.expireCalls(time, settings.storeTimeout)
+        if (readDue(account)) {
+            account.reading = time
+            account.lastRead = time
+            actions += BudgetAction.ReadRecord(account.customer)
         }
+        if (account.shortage > 0 && maySpend() && !coveredByRecord(account)) {
+            lending.ask(account, time)
+        }
+        setTimer(account)
+    }
+
+    private fun serve(account: Account) {
+        if (account.waiting.isEmpty() || !maySpend()) return
+        val waiters = account.waiting.iterator()
+        while (waiters.hasNext()) {
+            val waiter = waiters.next()
+            if (waiter.tokens > account.free) continue
+            waiters.remove()
+            account.reserved += waiter.tokens
+            reservations[waiter.request] = Reservation(account, waiter.tokens)
+            actions += BudgetAction.Reserved(waiter.request)
+        }
+    }
+
+    /** Refuses the requests that the whole budget doesn't cover and those that waited too long. */
+    private fun expire(account: Account) {
+        if (account.waiting.isEmpty()) return
+        val exhausted = account.waiting.filter { exhausted(account, it) }
+        refuse(account, exhausted, ErrorKind.BUDGET_EXHAUSTED)
+        val late = account.waiting.filter { it.deadline <= time }
+        refuse(account, late, ErrorKind.BUDGET_UNREACHABLE)
+    }
+
+    /** A record that was read recently doesn't cover the request, even with all other slices. */
+    private fun exhausted(account: Account, waiter: Waiter): Boolean =
+        account.knownAt >= waiter.since - settings.knownFor &&
+            account.remainingAtMost < waiter.tokens
+
+    private fun refuse(account: Account, waiters: List<Waiter>, kind: ErrorKind) {
+        if (waiters.isEmpty()) return
+        account.waiting.removeAll(waiters)
+        for (waiter in waiters) {
+            account.demand.add(waiter.tokens, time)
+            actions += BudgetAction.Refused(waiter.request, kind)
+        }
+    }
+
+    /** The store can probably answer what is short, so that no loan is needed. */
+    private fun coveredByRecord(account: Account): Boolean {
+        if (!storeReachable) return false
+        val fresh = account.knownAt >= time - settings.knownFor
+        if (fresh) return account.record.available >= account.shortage
+        return account.reading?.let { time - it < settings.loanAnswer } ?: false
+    }
+
+    private fun readDue(account: Account): Boolean {
+        if (!storeReachable || account.reading != null || account.writing != null) return false
+        if (fenced || account.returned) return false
+        if (account.mustRead) return true
+        val age = time - account.lastRead
+        return when {
+            draining -> age >= settings.readInterval
+            account.waiting.any { it.tokens <= account.remaining } -> age >= settings.readInterval
+            lease.held(now) && dead.closable(account.record, time) -> age >= settings.readInterval
+            age < settings.knownFor -> false
+            account.waiting.isNotEmpty() -> true
+            account.record.available > 0 && placement.low(account, time) -> true
+            else -> sliceWriter.reportDue(account, time)
+        }
+    }
+
+    private fun decide(account: Account) {
+        if (fenced || account.writing != null || !lease.held(now)) return
+        val closed = dead.close(account.customer, account.record, time)
+        val change = sliceWriter.change(account, closed, draining, time)
+        if (change.record == account.record) return
+        val write = account.write(change.record, change.removal, time)
+        actions += BudgetAction.WriteRecord(
+            account.customer,
+            write.expectedRevision,
+            write.record,
+            write.sequence
+        )
+    }
+
+    private fun checkDrained() {
+        if (!draining || drained || fenced) return
+        drained = accounts.values.all { it.returned || sliceWriter.nothingToReturn(it) }
+        if (drained) actions += BudgetAction.Drained
+    }
+
+    private fun setTimer(account: Account) {
+        val wish = when {
+            account.returned || fenced -> null
+            account.waiting.isNotEmpty() || account.mustRead || draining -> time + SOON
+            account.reading != null || account.writing != null -> time + SOON
+            dead.present(account.record) -> time + settings.knownFor
+            else -> sliceWriter.nextReport(account, time)
+        }
+        // A timer that isn't in the future would fire again within the same tick.
+        val next = maxOf(wish ?: return, time + SOON)
+        val earlier = account.timer?.let { it > time && it <= next } ?: false
+        if (earlier) return
+        account.timer = next
+        timers += Timer(next, account)
+    }
+
+    private fun send(to: RouterId, message: BudgetMessage) {
+        actions += BudgetAction.SendToPeer(to, message)
+    }
+
+    private companion object {
+        // Any later tick will do.
+        val SOON = 1.milliseconds
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetMessage.kt
@@ -33,13 +33,16 @@
     /**
      * Tells a router of the lender's failure domain what the lender has lent to all borrowers, so
      * that it can close the lender's slices from a copy.
+     *
+     * @property complete whether customers that are missing have lent nothing
      */
     @Serializable
     @SerialName("lent-totals")
-    data class LentTotals(val totals: Map<CustomerId, Long>) : BudgetMessage
+    data class LentTotals(val totals: Map<CustomerId, Long>, val complete: Boolean) : BudgetMessage
 
     /** Confirms [LentTotals] with the same content. */
     @Serializable
     @SerialName("lent-totals-noted")
-    data class LentTotalsNoted(val totals: Map<CustomerId, Long>) : BudgetMessage
+    data class LentTotalsNoted(val totals: Map<CustomerId, Long>, val complete: Boolean) :
+        BudgetMessage
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -20,12 +20,15 @@
  * @property reportInterval the shortest time between two periodic reports of one failure domain
  * @property idleReportInterval the longest time that changed spend stays unreported
  * @property placedShare share of the remaining tokens that is granted ahead of use
- * @property endShare when less than this share of all payments remains, grants shrink to
- *   [endSpan] of demand and the rest stays in the record
+ * @property demandSpan time constant of the demand average
+ * @property endHorizon when the remaining tokens cover less than this span of the demand of all
+ *   holders, grants shrink to [endSpan] of demand and the rest stays in the record
  * @property endSpan the span of demand that a grant covers near the end of a budget
  * @property storeTimeout a store call without answer counts as lost after this time
  * @property readInterval the shortest time between two reads of one record for waiting requests
- * @property loanInterval the shortest time between two loan requests for one customer
+ * @property knownFor how long an answer of the store or of a lender that there are no more tokens
+ *   is relied on; bounds the reads and messages that an exhausted budget causes
+ * @property loanAnswer how long the next lender is not asked while one hasn't answered
  * @property copylessDelay how long a router without a copy leaves the slices of a dead router to
  *   routers that hold one
  */
@@ -38,11 +41,13 @@
     val reportInterval: Duration = 10.seconds,
     val idleReportInterval: Duration = 1.minutes,
     val placedShare: Double = 0.95,
-    val endShare: Double = 0.03,
+    val demandSpan: Duration = 2.minutes,
+    val endHorizon: Duration = 1.minutes,
     val endSpan: Duration = 1.seconds,
     val storeTimeout: Duration = 1.seconds,
     val readInterval: Duration = 50.milliseconds,
-    val loanInterval: Duration = 20.milliseconds,
+    val knownFor: Duration = 1.seconds,
+    val loanAnswer: Duration = 50.milliseconds,
     val copylessDelay: Duration = 10.minutes
 ) {
     init {
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/DeadRouters.kt
@@ -0,0 +1,67 @@
+/*
+ * Closes the slices of routers that are proved not to spend any more.
+ *
+ * A copy shows what a dead router spent and reserved, but not what it lent. A router of the same
+ * failure domain that received the lender's complete lent totals knows that too, because no loan
+ * is sent before all of these routers have confirmed it. Only such a router closes from a copy.
+ */
+package org.hemlockpond.core.budget
+
+import kotlin.time.Duration
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.RouterId
+
+internal class DeadRouters(private val settings: BudgetSettings) {
+    private class Death(val since: Duration, val copies: Map<CustomerId, SpendCopy>?)
+
+    private val deaths = HashMap<RouterId, Death>()
+    private val lentTotals = HashMap<RouterId, MutableMap<CustomerId, Long>>()
+    private val complete = HashSet<RouterId>()
+
+    operator fun contains(router: RouterId): Boolean = router in deaths
+
+    fun died(router: RouterId, copies: Map<CustomerId, SpendCopy>?, now: Duration) {
+        deaths.values.removeIf { now - it.since > settings.routerLease * 2 }
+        val known = deaths[router]
+        deaths[router] = Death(known?.since ?: now, copies ?: known?.copies)
+    }
+
+    /** Notes what [lender] has lent; false if it is too late because the lender is dead. */
+    fun note(lender: RouterId, message: BudgetMessage.LentTotals): Boolean {
+        if (lender in deaths) return false
+        val totals = lentTotals.getOrPut(lender) { HashMap() }
+        for ((customer, total) in message.totals) totals.merge(customer, total, ::maxOf)
+        if (message.complete) complete += lender
+        return true
+    }
+
+    /** Whether [record] has a slice that [close] would close now. */
+    fun closable(record: BudgetRecord, now: Duration): Boolean = deaths.isNotEmpty() &&
+        record.slices.keys.any { router -> deaths[router]?.let { ready(router, it, now) } == true }
+
+    /** Whether [record] has a slice of a dead router. */
+    fun present(record: BudgetRecord): Boolean =
+        deaths.isNotEmpty() && record.slices.keys.any { it in deaths }
+
+    /** Closes every slice of [record] that can be closed now. */
+    fun close(customer: CustomerId, record: BudgetRecord, now: Duration): BudgetRecord {
+        if (deaths.isEmpty()) return record
+        return record.slices.keys.fold(record) { result, router ->
+            val death = deaths[router]
+            when {
+                death == null || !ready(router, death, now) -> result
+
+                death.copies != null && router in complete -> {
+                    val copy = death.copies[customer] ?: SpendCopy(0, 0)
+                    result.withClosed(router, copy, lentTotals[router]?.get(customer) ?: 0)
+                }
+
+                else -> result.withClosed(router, null)
+            }
+        }
+    }
+
+    private fun ready(router: RouterId, death: Death, now: Duration): Boolean =
+        (death.copies != null && router in complete) ||
+            now - death.since >= settings.copylessDelay
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
@@ -0,0 +1,77 @@
+/*
+ * How many tokens each holder keeps.
+ *
+ * Far from the end of a budget nearly all remaining tokens are held, in proportion to the demand
+ * that each holder has written into its slice, so that a partitioned failure domain serves as long
+ * as the others. Near the end each holder keeps only a short span of its demand; the rest stays in
+ * the record, where every holder can reach it.
+ */
+package org.hemlockpond.core.budget
+
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.RouterId
+
+internal class Placement(
+    private val self: RouterId,
+    private val domain: FailureDomain,
+    private val settings: BudgetSettings
+) {
+    /** Other routers that can be reached; bounds the first grant before demand is known. */
+    var peers = 0
+
+    fun wanted(account: Account, now: Duration): Long =
+        maxOf(1, (account.demand.rate(now) * seconds(settings.grantSpan)).toLong())
+
+    /** Near the end of the budget, as far as the last known record shows. */
+    fun ending(account: Account, now: Duration): Boolean {
+        val demand = othersWanted(account) + wanted(account, now)
+        val horizon = demand * (settings.endHorizon / settings.grantSpan)
+        return account.remaining + account.reserved < horizon
+    }
+
+    /** Tokens that the holder should keep, including the reserved ones. */
+    fun target(account: Account, now: Duration): Long {
+        if (ending(account, now)) return account.reserved + span(account, settings.endSpan, now)
+        val wanted = wanted(account, now).toDouble()
+        var share = wanted / (wanted + othersWanted(account))
+        if (now - account.created < settings.demandSpan / 4) {
+            share = minOf(share, 1.0 / (peers + 1))
+        }
+        val remaining = account.remaining + account.reserved
+        return maxOf(account.reserved, (remaining * settings.placedShare * share).toLong())
+    }
+
+    /** Few tokens are left for the measured demand. */
+    fun low(account: Account, now: Duration): Boolean {
+        val span = if (ending(account, now)) settings.endSpan / 2 else settings.lowSpan
+        return account.free < span(account, span, now)
+    }
+
+    /** Tokens to hold when the holder is short: enough for a span of demand, not one request. */
+    fun refill(account: Account, now: Duration): Long {
+        val span = if (ending(account, now)) settings.endSpan else settings.grantSpan
+        val need = account.held + account.shortage + span(account, span, now)
+        return maxOf(need, target(account, now))
+    }
+
+    fun span(account: Account, span: Duration, now: Duration): Long =
+        (account.demand.rate(now) * seconds(span)).toLong()
+
+    /**
+     * The time between periodic reports. It grows with the holders in the failure domain, so that
+     * the store's writes grow with domains rather than with routers.
+     */
+    fun reportInterval(account: Account): Duration {
+        val holders = account.record.slices.values.count { it.domain == domain }
+        return settings.reportInterval * maxOf(1, holders)
+    }
+
+    private fun othersWanted(account: Account): Long =
+        account.record.slices.entries.sumOf { (router, slice) ->
+            if (router == self) 0 else slice.wanted
+        }
+
+    private fun seconds(duration: Duration): Double = duration.toDouble(DurationUnit.SECONDS)
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -0,0 +1,106 @@
+/*
+ * Decides what a holder writes into its own slice: reports of spend, larger and smaller grants, and
+ * the return of the slice when the router shuts down.
+ */
+package org.hemlockpond.core.budget
+
+import kotlin.math.abs
+import kotlin.time.Duration
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.RouterId
+
+internal class RecordChange(val record: BudgetRecord, val removal: Boolean)
+
+internal class SliceWriter(
+    private val self: RouterId,
+    private val domain: FailureDomain,
+    private val settings: BudgetSettings,
+    private val placement: Placement
+) {
+    /** The record to write on top of [record], which is the last read one or follows from it. */
+    fun change(
+        account: Account,
+        record: BudgetRecord,
+        draining: Boolean,
+        now: Duration
+    ): RecordChange {
+        val unchanged = RecordChange(record, false)
+        if (account.returned) return unchanged
+        val base = account.confirmed ?: Slice(domain)
+        if (draining) return drain(account, record, base)
+        val hold = hold(account, record, now)
+        val due = reportDue(account, now)
+        if (hold == account.held && !due) return unchanged
+        account.lastReport = now
+        val slice = account.slice(base, hold, placement.wanted(account, now))
+        val worthwhile = account.confirmed != null || slice.granted != 0L
+        return if (worthwhile && materially(base, slice)) {
+            RecordChange(record.withSlice(self, slice), false)
+        } else {
+            unchanged
+        }
+    }
+
+    private fun hold(account: Account, record: BudgetRecord, now: Duration): Long {
+        val held = account.held
+        val available = maxOf(0, record.available)
+        val wish = when {
+            account.shortage > 0 -> placement.refill(account, now)
+            placement.low(account, now) -> placement.refill(account, now)
+            !reportDue(account, now) -> held
+            else -> placement.target(account, now)
+        }
+        if (wish >= held) return held + minOf(wish - held, available)
+        val excess = held - wish
+        return if (excess > held / SLACK) maxOf(wish, account.reserved) else held
+    }
+
+    private fun drain(account: Account, record: BudgetRecord, base: Slice): RecordChange {
+        val slice = account.slice(base, account.reserved, 0)
+        return when {
+            account.confirmed != null && account.reserved == 0L ->
+                RecordChange(record.withReturned(self, slice), true)
+
+            nothingToReturn(account) -> RecordChange(record, false)
+
+            // A slice that holds only borrowed tokens is created first: a removal can be repeated
+            // safely after an unknown outcome only if it removes something. An empty slice is
+            // created to settle whether an earlier creation takes effect.
+            account.confirmed == null || slice != base ->
+                RecordChange(record.withSlice(self, slice), false)
+
+            else -> RecordChange(record, false)
+        }
+    }
+
+    fun nothingToReturn(account: Account): Boolean = account.confirmed == null &&
+        account.settledInRecord && account.reserved == 0L && account.used == 0L
+
+    private fun materially(base: Slice, slice: Slice): Boolean = base.granted != slice.granted ||
+        base.spent != slice.spent || base.lent != slice.lent || base.borrowed != slice.borrowed ||
+        abs(base.wanted - slice.wanted) > base.wanted / SLACK
+
+    fun reportDue(account: Account, now: Duration): Boolean =
+        nextReport(account, now)?.let { it <= now } ?: false
+
+    /** When the slice should be looked at again; null if nothing would change. */
+    fun nextReport(account: Account, now: Duration): Duration? {
+        val slice = account.confirmed
+        val interval = placement.reportInterval(account)
+        return when {
+            slice == null -> null
+
+            slice.used != account.used -> maxOf(account.lastReport + interval, now)
+
+            account.held > account.reserved ->
+                maxOf(account.lastReport + maxOf(interval, settings.idleReportInterval), now)
+
+            else -> null
+        }
+    }
+
+    private companion object {
+        // Changes of less than a tenth aren't worth a write.
+        const val SLACK = 10
+    }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetPropertyTest.kt
@@ -0,0 +1,50 @@
+package org.hemlockpond.core.budget
+
+import net.jqwik.api.EdgeCasesMode
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.ShrinkingMode
+
+/**
+ * Compares [BudgetHolder] with [NaiveBudget] over random schedules. 10,000 schedules run by
+ * default. 1,000,000 schedules run with
+ *
+ * ```
+ * mvn -o -q -pl core test -Dtest=BudgetPropertyTest -Dhemlockpond.schedules=1000000
+ * ```
+ *
+ * and one schedule again with `-Dhemlockpond.schedule=SEED`, where SEED is the number that a
+ * failure reports.
+ */
+class BudgetPropertyTest {
+    private val schedulesPerTry = Integer.getInteger("hemlockpond.schedules", 10_000) / TRIES
+    private val single = java.lang.Long.getLong("hemlockpond.schedule")
+
+    /** Guards against overspend, lost or invented spend, and refusals that aren't true. */
+    @Property(
+        tries = TRIES,
+        seed = "20261204",
+        shrinking = ShrinkingMode.OFF,
+        edgeCases = EdgeCasesMode.NONE
+    )
+    fun agreesWithSingleCounter(@ForAll base: Long) {
+        if (single != null) {
+            run(single)
+        } else {
+            for (i in 0 until schedulesPerTry) run(base + i)
+        }
+    }
+
+    private fun run(seed: Long) {
+        try {
+            BudgetWorld(seed, calm = seed % CALM_EVERY == 0L).run()
+        } catch (e: IllegalStateException) {
+            throw AssertionError("schedule $seed: ${e.message}", e)
+        }
+    }
+
+    private companion object {
+        const val TRIES = 1_000
+        const val CALM_EVERY = 5L
+    }
+}
