--- a/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
@@ -28,7 +28,7 @@
     }
 
     override fun execute(): Outcome {
-        val name = customer ?: throw UsageError("the customer is missing")
+        val name = named("customer", customer ?: throw UsageError("the customer is missing"))
         val record = withStore { Budgets(it, environment).read(CustomerId(name)) }
             ?: fail(ExitCode.FAILED, "customer $name has no budget record")
         return Outcome(ExitCode.SUCCESS, lines(name, record), recordJson(name, record))
@@ -76,7 +76,7 @@
 
     override fun execute(): Outcome {
         if (!isPaymentId(id)) throw UsageError("--id $id isn't a payment id of 1 to 63 characters")
-        val name = CustomerId(customer)
+        val name = CustomerId(named("customer", customer))
         return withStore { store ->
             // A budget of a mistyped customer would keep the payment from the one who paid.
             store.get(ConfigKeys.contract(name))
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Command.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Command.kt
@@ -19,6 +19,7 @@
 import org.hemlockpond.settings.SettingsError
 import org.hemlockpond.settings.SettingsResult
 import org.hemlockpond.settings.SocketAddress
+import org.hemlockpond.settings.isName
 import org.hemlockpond.settings.loadRouterSettings
 
 private val prettyJson = Json { prettyPrint = true }
@@ -90,6 +91,10 @@
     }
 }
 
+/** [text] if it may be a name; otherwise it can't be part of a store key. */
+internal fun named(what: String, text: String): String =
+    if (isName(text)) text else throw UsageError("$text can't be the name of a $what")
+
 /** The value, or the end of the command with every error. */
 internal fun <T> valid(result: SettingsResult<T>): T = when (result) {
     is SettingsResult.Valid -> result.value
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Main.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Main.kt
@@ -72,7 +72,9 @@
     json: Boolean,
     environment: Environment
 ): Int {
-    val refused = error is UsageError || error.statusCode != 0
+    // A group without a subcommand prints its help, but with the status code of success.
+    val missing = error is PrintHelpMessage && error.error
+    val refused = missing || error is UsageError || error.statusCode != 0
     val text = command.getFormattedHelp(error) ?: error.message.orEmpty()
     val shown = if (error is PrintHelpMessage) text else text.trimEnd()
     when {
--- a/cli/src/main/kotlin/org/hemlockpond/cli/MoveCommands.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/MoveCommands.kt
@@ -47,9 +47,16 @@
     override fun execute(): Outcome {
         val from = instant("--start", start, environment.now())
         val until = instant("--deadline", deadline, from)
+        if (until <= environment.now()) throw UsageError("--deadline $deadline has passed")
         return withStore { store ->
             val record = Moves(store, environment)
-                .start(RouteId(route), VersionId(to), from, until, allowRejected)
+                .start(
+                    RouteId(named("route", route)),
+                    VersionId(named("version", to)),
+                    from,
+                    until,
+                    allowRejected
+                )
             Outcome(ExitCode.SUCCESS, lines(record), jsonOf("move" to moveJson(record)))
         }
     }
@@ -78,7 +85,7 @@
                 jsonOf("moves" to records.map(::moveJson))
             )
         } else {
-            val record = moves.read(RouteId(name))
+            val record = moves.read(RouteId(named("route", name)))
                 ?: fail(ExitCode.FAILED, "route $name has no move")
             Outcome(ExitCode.SUCCESS, lines(record), jsonOf("move" to moveJson(record)))
         }
@@ -97,7 +104,10 @@
         val limit = span("--timeout", timeout)
         val pause = maxOf(span("--poll", poll), minPoll)
         return withStore { store ->
-            val record = Moves(store, environment).await(RouteId(route), limit, pause)
+            val record = Moves(
+                store,
+                environment
+            ).await(RouteId(named("route", route)), limit, pause)
             val exit = if (record.state == MoveState.DONE) ExitCode.SUCCESS else ExitCode.FAILED
             Outcome(exit, lines(record), jsonOf("move" to moveJson(record)))
         }
@@ -112,7 +122,7 @@
         .default("taken back on the command line")
 
     override fun execute(): Outcome = withStore { store ->
-        val record = Moves(store, environment).takeBack(RouteId(route), reason)
+        val record = Moves(store, environment).takeBack(RouteId(named("route", route)), reason)
         Outcome(ExitCode.SUCCESS, lines(record), jsonOf("move" to moveJson(record)))
     }
 }
--- a/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
@@ -89,8 +89,10 @@
         if (!confirmed) throw UsageError("use --yes to confirm that the host of $router is off")
         val key = GONE_PREFIX + router
         return withStore { store ->
-            val stored = store.get(key)
-            if (stored != null) return@withStore outcome("$router was declared gone before")
+            if (store.get(key) != null) return@withStore outcome("$router was declared gone before")
+            // A lapsed registration is no reason to refuse: a slice may be left whose router ended
+            // while no other router ran to see it.
+            registered = store.get(ROUTERS_PREFIX + router) != null
             val value = jsonOf("router" to router, "declaredAt" to environment.now())
             val write = ConditionalWrite(key, 0, value.toString())
             when (val commit = store.commitResolved(listOf(write))) {
@@ -109,10 +111,20 @@
         }
     }
 
-    private fun outcome(line: String) =
-        Outcome(ExitCode.SUCCESS, listOf(line), jsonOf("router" to router))
+    private var registered: Boolean? = null
+
+    private fun outcome(line: String): Outcome {
+        val hint = "$router isn't registered in the store; check that this is its id"
+        return Outcome(
+            ExitCode.SUCCESS,
+            listOfNotNull(line, hint.takeIf { registered == false }),
+            jsonOf("router" to router, "registered" to registered)
+        )
+    }
 
     private companion object {
-        val routerId = Regex("[A-Za-z0-9][A-Za-z0-9._:-]{0,127}")
+        /** The host's name and the incarnation. */
+        val routerId = Regex("[a-z0-9][a-z0-9._-]{0,62}/[A-Za-z0-9-]{1,64}")
+        const val ROUTERS_PREFIX = "hemlockpond/routers/"
     }
 }
--- a/settings/src/main/kotlin/org/hemlockpond/settings/Decoder.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/Decoder.kt
@@ -6,7 +6,11 @@
 
 import kotlin.time.Duration
 
-internal val namePattern = Regex("[a-z0-9][a-z0-9._-]{0,62}")
+private val namePattern = Regex("[a-z0-9][a-z0-9._-]{0,62}")
+
+/** Whether [text] may name a customer, a route, a version or any other declared thing. */
+fun isName(text: String): Boolean = namePattern.matches(text)
+
 internal const val NAME_EXPECTED =
     "a name of 1 to 63 characters a-z, 0-9, '.', '_' or '-' that starts with a letter or digit"
 
@@ -42,7 +46,7 @@
         return if (value != null && accept(value)) value else fail(node, expected)
     }
 
-    fun name(node: Node): String? = text(node, NAME_EXPECTED) { namePattern.matches(it) }
+    fun name(node: Node): String? = text(node, NAME_EXPECTED, ::isName)
 
     fun boolean(node: Node): Boolean? =
         if (node is BooleanNode) node.value else fail(node, "true or false")
--- a/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
@@ -17,6 +17,9 @@
 private const val MIB = 1024L * KIB
 private const val GIB = 1024L * MIB
 
+/** The project's target for the memory held for one slow reader. */
+private const val MAX_READER_WINDOW_BYTES = 64 * KIB
+
 /** Reads the router settings in [file], or every error in it. */
 fun loadRouterSettings(file: Path): SettingsResult<RouterSettings> {
     val errors = mutableListOf<SettingsError>()
@@ -168,7 +171,7 @@
                 decoder.int(it, 1..1_000_000)
             },
             readerWindowBytes = fields.optional("readerWindowBytes", d.readerWindowBytes) {
-                decoder.size(it, KIB..MIB)
+                decoder.size(it, KIB..MAX_READER_WINDOW_BYTES)
             },
             totalReaderBytes = fields.optional("totalReaderBytes", d.totalReaderBytes) {
                 decoder.size(it, KIB..16 * GIB)
