--- a/router/src/main/kotlin/org/hemlockpond/router/caller/ChatParse.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/caller/ChatParse.kt
@@ -5,14 +5,14 @@
 
 import java.security.MessageDigest
 import java.util.HexFormat
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonElement
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
 import kotlinx.serialization.json.longOrNull
+import org.hemlockpond.router.JsonInput
+import org.hemlockpond.router.parseJson
 
 /** A parsed chat-completion request, or why it isn't one. */
 internal sealed interface ChatParse {
@@ -34,14 +34,12 @@
 }
 
 internal fun parseChat(text: String): ChatParse {
-    val body = try {
-        Json.parseToJsonElement(text) as? JsonObject
-            ?: return ChatParse.Malformed("the body must be a JSON object")
-    } catch (e: SerializationException) {
-        return ChatParse.Malformed(
-            "the body isn't valid JSON: ${e.message?.lineSequence()?.first()}"
-        )
+    val json = when (val input = parseJson(text)) {
+        is JsonInput.Malformed -> return ChatParse.Malformed("invalid JSON: ${input.reason}")
+        is JsonInput.Valid -> input.element
     }
+    val body = json as? JsonObject
+        ?: return ChatParse.Malformed("the body must be a JSON object")
     val model = body.text("model")
         ?: return ChatParse.Malformed("\"model\" must be a string")
     val contents = contentsOf(body["messages"])
--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
@@ -12,8 +12,6 @@
 import io.netty.handler.codec.http.HttpResponse
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.ByteArrayOutputStream
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonArray
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
@@ -24,9 +22,11 @@
 import org.hemlockpond.core.routing.AttemptOutcome
 import org.hemlockpond.router.AnswerRelay
 import org.hemlockpond.router.CallerRequest
+import org.hemlockpond.router.JsonInput
 import org.hemlockpond.router.UpstreamCall
 import org.hemlockpond.router.UpstreamReader
 import org.hemlockpond.router.Usage
+import org.hemlockpond.router.parseJson
 
 /** One attempt's connection. All functions run on the traffic thread. */
 internal class AttemptHandler(
@@ -109,11 +109,8 @@
         if (!text.isNullOrEmpty()) relay.piece(attempt, index++, text)
     }
 
-    private fun parse(data: String): JsonObject? = try {
-        Json.parseToJsonElement(data) as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    }
+    private fun parse(data: String): JsonObject? =
+        (parseJson(data) as? JsonInput.Valid)?.element as? JsonObject
 
     private fun usageOf(json: JsonObject): Usage {
         val prompt = (json["prompt_tokens"] as? JsonPrimitive)?.longOrNull ?: request.promptTokens
--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/OrderClient.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/OrderClient.kt
@@ -8,8 +8,6 @@
 import java.net.http.HttpRequest
 import java.net.http.HttpResponse
 import java.time.Duration
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
@@ -20,6 +18,8 @@
 import org.hemlockpond.core.VersionId
 import org.hemlockpond.core.moves.EndpointOrder
 import org.hemlockpond.core.moves.OrderAnswer
+import org.hemlockpond.router.JsonInput
+import org.hemlockpond.router.parseJson
 import org.hemlockpond.router.protocolName
 
 /** What an engine says about itself; it lags. */
@@ -81,11 +81,8 @@
         return LoadAnswer(held, leaving)
     }
 
-    private fun parse(body: String): JsonObject? = try {
-        Json.parseToJsonElement(body) as? JsonObject
-    } catch (_: SerializationException) {
-        null
-    }
+    private fun parse(body: String): JsonObject? =
+        (parseJson(body) as? JsonInput.Valid)?.element as? JsonObject
 
     private companion object {
         val TIMEOUT: Duration = Duration.ofSeconds(2)
