--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
@@ -21,6 +21,12 @@
      */
     data class Settle(val request: RequestId, val used: Long) : BudgetEvent
 
+    /**
+     * The customer was charged [tokens] too much, here or in a slice that was closed since; this
+     * router's slice gets them back.
+     */
+    data class Credit(val customer: CustomerId, val tokens: Long) : BudgetEvent
+
     /** The answer to [BudgetAction.ReadRecord]; [revision] is 0 if the record doesn't exist. */
     data class RecordRead(
         val customer: CustomerId,
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -50,6 +50,7 @@
         when (event) {
             is BudgetEvent.Reserve -> reserve(event)
             is BudgetEvent.Settle -> settle(event)
+            is BudgetEvent.Credit -> credit(event)
             is BudgetEvent.RecordRead -> recordRead(event)
             is BudgetEvent.RecordWritten -> recordWritten(event)
             is BudgetEvent.StoreReachable -> reachable(event.reachable)
@@ -63,6 +64,9 @@
         return actions.toList().also { actions.clear() }
     }
 
+    /** The routers that hold a slice in a record that this router has read. */
+    fun holders(): Set<RouterId> = accounts.values.flatMapTo(HashSet()) { it.record.slices.keys }
+
     private fun account(customer: CustomerId): Account =
         accounts.getOrPut(customer) { Account(customer, self, settings, time) }
 
@@ -101,6 +105,13 @@
         checkDrained()
     }
 
+    private fun credit(event: BudgetEvent.Credit) {
+        require(event.tokens >= 0) { "a credit of ${event.tokens} tokens" }
+        val account = account(event.customer)
+        account.spent -= event.tokens
+        work(account)
+    }
+
     private fun recordRead(event: BudgetEvent.RecordRead) {
         val account = accounts[event.customer] ?: return
         val sent = account.reading ?: time - settings.storeTimeout
--- a/router/src/main/kotlin/org/hemlockpond/router/Control.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Control.kt
@@ -4,6 +4,7 @@
  */
 package org.hemlockpond.router
 
+import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.budget.BudgetAction
 import org.hemlockpond.core.budget.BudgetEvent
@@ -12,6 +13,7 @@
 import org.hemlockpond.core.ledger.LedgerAction
 import org.hemlockpond.core.ledger.LedgerEvent
 import org.hemlockpond.core.ledger.RequestLedger
+import org.hemlockpond.core.ledger.RouterCopies
 import org.hemlockpond.core.moves.EndpointOrder
 import org.hemlockpond.core.moves.MoveAction
 import org.hemlockpond.core.moves.MoveEvent
@@ -36,6 +38,11 @@
 
     fun store(action: LedgerAction.ReadRunRecord)
 
+    fun store(action: LedgerAction.CommitSpend)
+
+    /** Passes [done] the epoch of the last spend that [router] committed by itself. */
+    fun readSpendEpoch(router: RouterId, done: (Long) -> Unit)
+
     fun store(action: MoveAction.ReadRecord)
 
     fun store(action: MoveAction.WriteRecord)
@@ -98,16 +105,24 @@
     /** [router] never spends again: its copies decide what its slices are charged. */
     fun routerDied(router: RouterId) {
         val copies = components.ledger.copiesOf(router)?.takeIf { it.complete }
-        val byCustomer = copies?.let { found ->
-            (found.settled.keys + found.open.keys).associateWith {
-                SpendCopy(found.settled[it] ?: 0, found.open[it] ?: 0)
-            }
-        }
-        budget(BudgetEvent.RouterDied(router, byCustomer))
         ledger(LedgerEvent.RouterDied(router))
         routing(RoutingEvent.RouterDied(router))
+        if (copies == null) {
+            budget(BudgetEvent.RouterDied(router, null))
+            return
+        }
+        outside.readSpendEpoch(router) { epoch ->
+            // A later epoch in the store: the router went on without this copy.
+            val current = copies.takeIf { it.epoch >= epoch }
+            budget(BudgetEvent.RouterDied(router, current?.let { spendCopies(it) }))
+        }
     }
 
+    private fun spendCopies(copies: RouterCopies): Map<CustomerId, SpendCopy> =
+        (copies.settled.keys + copies.open.keys).associateWith {
+            SpendCopy(copies.settled[it] ?: 0, copies.open[it] ?: 0)
+        }
+
     private fun perform(action: BudgetAction) {
         when (action) {
             is BudgetAction.Reserved -> flows.reserved(action.request)
@@ -141,21 +156,25 @@
 
             is LedgerAction.ReadRunRecord -> outside.store(action)
 
-            is LedgerAction.CommitSpend ->
-                ledger(LedgerEvent.SpendCommitted(action.number, committed = false))
+            is LedgerAction.CommitSpend -> outside.store(action)
 
             is LedgerAction.SendToPeer ->
                 outside.send(action.to, PeerMessage.Ledger(action.message))
 
-            is LedgerAction.CreditBill -> log(
-                LogEvent.CREDIT,
-                "request" to action.request,
-                "customer" to action.customer,
-                "tokens" to action.tokens
-            )
+            is LedgerAction.CreditBill -> credit(action)
         }
     }
 
+    private fun credit(action: LedgerAction.CreditBill) {
+        log(
+            LogEvent.CREDIT,
+            "request" to action.request,
+            "customer" to action.customer,
+            "tokens" to action.tokens
+        )
+        budget(BudgetEvent.Credit(action.customer, action.tokens))
+    }
+
     private fun perform(action: RoutingAction) {
         when (action) {
             is RoutingAction.Dispatch -> flows.dispatch(action)
--- a/router/src/main/kotlin/org/hemlockpond/router/FleetLink.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/FleetLink.kt
@@ -59,7 +59,7 @@
     LeaseListener {
     private val config = ConfigState()
     private var reachable = true
-    private var registered = emptySet<String>()
+    private var unregistered = emptySet<RouterId>()
     private lateinit var peers: PeerNetwork
     private lateinit var store: StoreWorker
     private lateinit var watch: StoreWatch
@@ -221,11 +221,13 @@
         decisions.moves(MoveEvent.ControllerLease(held, fencing, until))
     }
 
-    override fun routersRegistered(routers: Set<String>) = post {
-        // Registered before and gone now: the lease expired, or the router deregistered.
-        (registered - routers).map { RouterId(it) }.filterNot { membership.isDead(it) }
+    override fun routersRegistered(routers: Set<RouterId>) = post {
+        // A router registers before its first grant. One that holds tokens and is missing from two
+        // lists in a row had registered before the second was read, so its lease expired.
+        val missing = components.budget.holders() - routers - self.router
+        (missing intersect unregistered).filterNot { membership.isDead(it) }
             .forEach { membership(MembershipEvent.ProvenDead(it, DeathProof.LEASE_EXPIRED)) }
-        registered = routers
+        unregistered = missing
     }
 
     override fun storeAnswered(answered: Boolean) = store.seen(answered)
--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -8,6 +8,7 @@
 import io.netty.channel.nio.NioIoHandler
 import io.netty.handler.ssl.SslContext
 import io.netty.handler.ssl.SslContextBuilder
+import java.lang.management.ManagementFactory
 import java.net.InetSocketAddress
 import java.nio.file.Path
 import java.util.UUID
@@ -118,7 +119,7 @@
         exit = exit
     )
     private val peers = PeerNetwork(self, secrets.peerSecret, settings.listen.peers, fleet)
-    private val store = StoreWorker(client, scope, decisions, ::control, fleet::storeReachable)
+    private val store = StoreWorker(id, client, scope, decisions, ::control, fleet::storeReachable)
     private val tls = settings.tls?.let { sslContext(it.certificateFile, it.keyFile) }
     private val callers = CallerServer(
         InetSocketAddress(settings.listen.callers.host, settings.listen.callers.port),
@@ -154,7 +155,7 @@
         leases.start()
         callers.start()
         operators.start()
-        metrics.gauge("hemlockpond.reader.bytes") { readers.heldBytes }
+        startGauges()
         every(CONTROL_TICK) { control { decisions.tick() } }
         every(settings.timing.heartbeat / 2) { control { fleet.tick() } }
         every(READER_TICK) { trafficLoop.execute { readers.tick() } }
@@ -170,6 +171,20 @@
         )
     }
 
+    private fun startGauges() {
+        val threads = ManagementFactory.getThreadMXBean()
+        val control = controlThread.submit<Long> { Thread.currentThread().id }.get()
+        metrics.gauge("hemlockpond.control.cpu.seconds") {
+            threads.getThreadCpuTime(control) / NANOS_PER_SECOND
+        }
+        metrics.gauge("hemlockpond.heap.bytes") {
+            Runtime.getRuntime().run { totalMemory() - freeMemory() }
+        }
+        metrics.gauge("hemlockpond.reader.bytes") { readers.heldBytes }
+        metrics.gauge("hemlockpond.peer.sent.bytes") { peers.sentBytes }
+        metrics.gauge("hemlockpond.store.calls") { store.calls }
+    }
+
     /** Ends open requests, returns unspent tokens and stops; blocks up to the drain time. */
     fun stop() {
         log(LogEvent.ROUTER_DRAINING)
@@ -341,6 +356,14 @@
             store.readRun(action)
         }
 
+        override fun store(action: LedgerAction.CommitSpend) {
+            store.commitSpend(action)
+        }
+
+        override fun readSpendEpoch(router: RouterId, done: (Long) -> Unit) {
+            store.readSpendEpoch(router, done)
+        }
+
         override fun store(action: MoveAction.ReadRecord) {
             store.readMove(action)
         }
@@ -369,6 +392,7 @@
         private val LOAD_REPORT = 1.seconds
         private val RETURN_LIMIT = 5.seconds
         private const val POLL_MILLIS = 20L
+        private const val NANOS_PER_SECOND = 1e9
         private const val LAST_WRITES_MILLIS = 200L
 
         private fun incarnation(): String = UUID.randomUUID().toString().take(8)
--- a/router/src/main/kotlin/org/hemlockpond/router/peer/FrameSession.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/peer/FrameSession.kt
@@ -49,12 +49,14 @@
 internal class FrameWriter(private val key: ByteArray, private val output: ByteWriteChannel) {
     private var number = 0L
 
-    suspend fun write(content: ByteArray) {
+    /** Sends one frame and returns its size in bytes. */
+    suspend fun write(content: ByteArray): Int {
         val mac = hmac(key, numberBytes(number++), content)
         output.writeInt(content.size + mac.size)
         output.writeFully(content)
         output.writeFully(mac)
         output.flush()
+        return Int.SIZE_BYTES + content.size + mac.size
     }
 }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/peer/PeerNetwork.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/peer/PeerNetwork.kt
@@ -13,6 +13,7 @@
 import io.ktor.network.sockets.openWriteChannel
 import java.net.ConnectException
 import java.util.concurrent.ConcurrentHashMap
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CancellationException
@@ -56,8 +57,12 @@
     private val selector = SelectorManager(Dispatchers.IO)
     private val handshake = Handshake(self, secret)
     private val links = ConcurrentHashMap<String, Link>()
+    private val sent = AtomicLong()
     private lateinit var server: ServerSocket
 
+    /** Bytes sent to peers since the start. */
+    val sentBytes: Long get() = sent.get()
+
     /** One dialed address. */
     private class Link(val outbox: Channel<PeerMessage>) {
         @Volatile
@@ -169,7 +174,8 @@
             log(LogEvent.PEER_CONNECTED, "address" to address, "router" to session.peer.router)
             val frames = FrameWriter(session.key, output)
             for (message in link.outbox) {
-                frames.write(PeerCbor.encodeToByteArray(PeerMessage.serializer(), message))
+                val content = PeerCbor.encodeToByteArray(PeerMessage.serializer(), message)
+                sent.addAndGet(frames.write(content).toLong())
             }
         }
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
@@ -12,6 +12,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.Now
+import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.membership.Member
 import org.hemlockpond.platform.ConditionalWrite
 import org.hemlockpond.platform.LeaseId
@@ -33,7 +34,7 @@
     fun controllerLease(held: Boolean, fencing: Long, until: Duration)
 
     /** All routers that hold a lease, from a read of the store. */
-    fun routersRegistered(routers: Set<String>)
+    fun routersRegistered(routers: Set<RouterId>)
 
     fun storeAnswered(answered: Boolean)
 }
@@ -107,8 +108,8 @@
     private suspend fun readRouters() {
         val read = client.readPrefix(ROUTERS_PREFIX)
         if (read !is ReadResult.Values) return
-        val routers = read.values.mapTo(HashSet()) { it.key.removePrefix(ROUTERS_PREFIX) }
-        if (self.router.value in routers) listener.routersRegistered(routers)
+        val routers = read.values.mapTo(HashSet()) { RouterId(it.key.removePrefix(ROUTERS_PREFIX)) }
+        if (self.router in routers) listener.routersRegistered(routers)
     }
 
     /** One router at a time orders endpoints and writes the outcomes of moves. */
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -5,14 +5,19 @@
 package org.hemlockpond.router.store
 
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.KSerializer
+import kotlinx.serialization.Serializable
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouteId
+import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.budget.BudgetAction
 import org.hemlockpond.core.budget.BudgetEvent
 import org.hemlockpond.core.budget.BudgetRecord
@@ -33,11 +38,21 @@
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
 
+/**
+ * The spend that a router committed while it had no copy peer, under `hemlockpond/spend/{router}`.
+ *
+ * @property epoch copies of an earlier epoch are out of date
+ * @property spent cumulative net tokens by customer
+ */
+@Serializable
+internal data class SpendRecord(val epoch: Long, val spent: Map<CustomerId, Long>)
+
 /**
  * @param post runs code on the control thread
  * @param reachable told on the control thread when calls begin to fail or to succeed again
  */
 internal class StoreWorker(
+    private val self: RouterId,
     private val client: PlatformClient,
     private val scope: CoroutineScope,
     private val decisions: Decisions,
@@ -45,6 +60,12 @@
     private val reachable: (Boolean) -> Unit
 ) {
     private val failures = AtomicInteger()
+    private val callCount = AtomicLong()
+    private var spend = SpendRecord(0, emptyMap())
+    private var spendRevision = 0L
+
+    /** Store calls since the start. */
+    val calls: Long get() = callCount.get()
 
     fun readBudget(action: BudgetAction.ReadRecord) = scope.launch {
         val read = client.read(budgetKey(action.customer))
@@ -147,8 +168,45 @@
         post { decisions.moves(event) }
     }
 
+    /** Writes the spend that no copy peer holds. The ledger sends one of these at a time. */
+    fun commitSpend(action: LedgerAction.CommitSpend) = scope.launch {
+        val merged = SpendRecord(action.epoch, spend.spent + action.spent)
+        val value = json.encodeToString(SpendRecord.serializer(), merged)
+        var result = client.commit(listOf(ConditionalWrite(spendKey(self), spendRevision, value)))
+        if (result is WriteResult.Conflict) {
+            // An earlier write took effect although its answer was lost.
+            spendRevision = result.current.firstOrNull()?.revision ?: 0
+            result = client.commit(listOf(ConditionalWrite(spendKey(self), spendRevision, value)))
+        }
+        seen(result.answered)
+        if (result is WriteResult.Applied) {
+            spend = merged
+            spendRevision = result.revision
+        }
+        val committed = result is WriteResult.Applied
+        post { decisions.ledger(LedgerEvent.SpendCommitted(action.number, committed)) }
+    }
+
+    /**
+     * Passes [done], on the control thread, the epoch of the last spend that a dead router
+     * committed by itself; 0 if there is none. Tries until the store answers: the slices can't be
+     * closed before that anyway.
+     */
+    fun readSpendEpoch(router: RouterId, done: (Long) -> Unit) = scope.launch {
+        var read = client.read(spendKey(router))
+        while (read !is ReadResult.Values) {
+            delay(RETRY)
+            read = client.read(spendKey(router))
+        }
+        val stored = read.values.firstOrNull()
+        val record = stored?.let { decode(SpendRecord.serializer(), it.key, it.value) }
+        val epoch = if (stored == null) 0 else record?.epoch ?: Long.MAX_VALUE
+        post { done(epoch) }
+    }
+
     /** Notes whether a store call was answered; other users of the store report here too. */
     fun seen(answered: Boolean) {
+        callCount.incrementAndGet()
         val before = failures.get()
         val after = if (answered) 0 else before + 1
         failures.set(after)
@@ -183,8 +241,12 @@
             encodeDefaults = true
         }
 
+        private val RETRY = 1.seconds
+
         fun budgetKey(customer: CustomerId): String = "hemlockpond/budgets/$customer"
 
         fun runKey(request: RequestId): String = "hemlockpond/runs/$request"
+
+        fun spendKey(router: RouterId): String = "hemlockpond/spend/$router"
     }
 }
