Complete the request ledger: homes, copies, take-overs and run records

Cause: the first version decided from its own entries only. Now a request's home is chosen by rendezvous hashing and replaced within the failure domain when it is silent. The keeper of an attempt (its router, then its copy peer) is the only one that moves or credits a charge, once, and tells nobody before the change is copied. Homes are soft state, so several may decide at once during a partition; they prefer the same chain and ask keepers to credit the others.

--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/Bill.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/Bill.kt
@@ -70,16 +70,19 @@
 )
 
 /**
- * What the copies of a dead router show.
+ * What the copies of a dead router show. The budget closes the router's slice with
+ * `settled + open`. It charges the whole grant instead if [complete] is false, or if the store
+ * shows a later epoch ([LedgerAction.CommitSpend]): the router then went on without this copy.
  *
+ * @property epoch grows each time the router changes its copy peer or goes on without one
  * @property settled cumulative net spend of the router by customer, in tokens
  * @property open tokens held for requests that were open, by customer; charged in full on closing
  * @property provisional the bills behind `open`
- * @property complete false if the router may have gone on without this copy; then the whole grant
- *   has to be charged
+ * @property complete false if this router may have missed that the copy moved elsewhere
  */
 data class RouterCopies(
     val router: RouterId,
+    val epoch: Long,
     val settled: Map<CustomerId, Long>,
     val open: Map<CustomerId, Long>,
     val provisional: List<Bill>,
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/Directory.kt
@@ -0,0 +1,102 @@
+/*
+ * The routers that the ledger knows, and the choice of a request's home among them. Rendezvous
+ * hashing (Thaler and Ravishankar, "A Name-Based Mapping Scheme for Rendezvous", 1996) moves only
+ * the requests of a router that comes or goes.
+ */
+package org.hemlockpond.core.ledger
+
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+
+/** Routers whose death is remembered, so that a delayed message of theirs is recognised. */
+private const val MAX_DEAD = 10_000
+
+internal class Directory(val self: RouterId, val domain: FailureDomain) {
+    private val peers = HashMap<RouterId, Peer>()
+    private val seeds = HashMap<RouterId, Long>().apply { put(self, hash(self.value)) }
+    private val dead = LinkedHashSet<RouterId>()
+
+    /** True while a live router can't be reached; duplicates may then exist elsewhere. */
+    var split = false
+        private set
+
+    /** Replaces the live routers; returns those that are new to the choice of a home. */
+    fun update(list: List<Peer>): Set<RouterId> {
+        val before = peers.keys.toSet()
+        peers.clear()
+        for (peer in list) {
+            if (peer.router != self && peer.router !in dead) peers[peer.router] = peer
+        }
+        seeds.keys.retainAll { it == self || it in peers }
+        for (router in peers.keys) seeds.getOrPut(router) { hash(router.value) }
+        split = peers.values.any { !it.reachable }
+        return peers.keys - before
+    }
+
+    fun died(router: RouterId) {
+        dead += router
+        if (dead.size > MAX_DEAD) dead.remove(dead.first())
+        peers.remove(router)
+        seeds.remove(router)
+        split = peers.values.any { !it.reachable }
+    }
+
+    fun isDead(router: RouterId): Boolean = router in dead
+
+    fun isLive(router: RouterId): Boolean = router == self || router in peers
+
+    fun isReachable(router: RouterId): Boolean = router == self || peers[router]?.reachable == true
+
+    /** The home of a request over all live routers. */
+    fun home(request: RequestId): RouterId {
+        val key = hash(request.value)
+        return seeds.maxBy { (_, seed) -> mix(key xor seed) }.key
+    }
+
+    /** Whether [router] takes the place of [home] for this request. */
+    fun replaces(router: RouterId, home: RouterId, request: RequestId): Boolean {
+        val key = hash(request.value)
+        val mine = seeds[router] ?: return false
+        val old = seeds[home] ?: return true
+        return mix(key xor mine) > mix(key xor old)
+    }
+
+    /** The home within the failure domain, over the routers that can be reached. */
+    fun domainHome(request: RequestId): RouterId {
+        val key = hash(request.value)
+        return seeds.filter { (router, _) -> isNear(router) }
+            .maxBy { (_, seed) -> mix(key xor seed) }.key
+    }
+
+    /** The routers of the failure domain that may hold copies, best choice first. */
+    fun copyPeers(): List<RouterId> {
+        val key = hash(self.value)
+        return seeds.filter { (router, _) -> router != self && isNear(router) }
+            .entries.sortedBy { (_, seed) -> mix(key xor seed) }.map { it.key }
+    }
+
+    /** Whether a router of the failure domain other than [owner] can't be reached. */
+    fun isBlind(owner: RouterId): Boolean = peers.values.any {
+        it.domain == domain && !it.reachable && it.router != owner
+    }
+
+    private fun isNear(router: RouterId): Boolean =
+        router == self || peers[router]?.let { it.reachable && it.domain == domain } == true
+
+    private companion object {
+        // FNV-1a with the finalizer of SplitMix64, which spreads similar names evenly.
+        fun hash(text: String): Long {
+            var value = -0x340d631b7bdddcdbL
+            for (char in text) value = (value xor char.code.toLong()) * 0x100000001b3L
+            return mix(value)
+        }
+
+        fun mix(input: Long): Long {
+            var value = input
+            value = (value xor (value ushr 30)) * -0x40a7b892e31b1a47L
+            value = (value xor (value ushr 27)) * -0x6b2fb644ecceee15L
+            return value xor (value ushr 31)
+        }
+    }
+}
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/HomeTable.kt
@@ -0,0 +1,201 @@
+/*
+ * The home's side of the ledger: which attempts of a request exist, as their keepers report them.
+ *
+ * This is soft state: keepers report again to a new home. Several homes may decide at once while
+ * routers can't reach each other. That is safe because the keeper of an attempt is the only one
+ * that moves or credits its charge, once, and because every home prefers the same attempt: one
+ * whose chain has ended to one that is provisional, and among equals the chain with the lower
+ * first attempt. The best ended chain is therefore credited by none of them.
+ */
+package org.hemlockpond.core.ledger
+
+import kotlin.time.Duration
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+
+internal class HomeTable(private val context: LedgerContext) {
+    private class Known(var report: AttemptReport, var keeper: RouterId)
+
+    private class Entry(val request: RequestId) {
+        val attempts = LinkedHashMap<AttemptId, Known>(2)
+        var touched: Duration = Duration.ZERO
+    }
+
+    private val entries = LinkedHashMap<RequestId, Entry>()
+
+    /** Requests with duplicate bills or unfinished moves, examined again until they are resolved. */
+    private val conflicts = LinkedHashMap<RequestId, Duration>()
+
+    val size: Int get() = entries.size
+
+    fun onClaim(from: RouterId, report: AttemptReport) {
+        if (context.directory.isDead(from)) return
+        val entry = entryOf(report.request)
+        val verdict = if (entry == null) Verdict.FULL else judge(entry, report)
+        val priors = ArrayList<Prior>(0)
+        if (entry != null && verdict == Verdict.GRANTED) {
+            entry.touched = context.now
+            if (report.attempt !in entry.attempts) {
+                entry.attempts[report.attempt] = Known(report, from)
+            }
+            for (known in heads(entry)) {
+                if (known.report.attempt == report.attempt) continue
+                priors += Prior(known.report.attempt, known.keeper, known.report.answer)
+            }
+        }
+        context.send(
+            from,
+            LedgerMessage.Decision(report.request, report.attempt, verdict, priors)
+        )
+    }
+
+    private fun judge(entry: Entry, claim: AttemptReport): Verdict {
+        for (known in entry.attempts.values) {
+            val report = known.report
+            if (report.attempt == claim.attempt || report.state == AttemptState.VOID) continue
+            if (report.digest != claim.digest) return Verdict.REUSED
+        }
+        val running = entry.attempts.values.any {
+            it.report.state == AttemptState.OPEN && it.report.attempt != claim.attempt &&
+                !context.directory.isDead(it.report.attempt.router)
+        }
+        return if (running) Verdict.IN_USE else Verdict.GRANTED
+    }
+
+    fun onReports(from: RouterId, reports: List<AttemptReport>) {
+        val seen = ArrayList<Seen>(reports.size)
+        for (report in reports) {
+            val entry = entryOf(report.request) ?: continue
+            entry.touched = context.now
+            val known = entry.attempts[report.attempt]
+            if (known == null) {
+                entry.attempts[report.attempt] = Known(report, from)
+            } else if (report.version > known.report.version) {
+                known.report = report
+                known.keeper = from
+            }
+            seen += Seen(report.request, report.attempt, report.version)
+            reconcile(entry)
+        }
+        context.send(from, LedgerMessage.ReportsSeen(seen))
+    }
+
+    /** Charged or running attempts whose charge no other attempt has taken over. */
+    private fun heads(entry: Entry): List<Known> {
+        if (entry.attempts.size == 1) {
+            return entry.attempts.values.filter { it.report.state.isHead() }
+        }
+        val taken = entry.attempts.values.flatMapTo(HashSet()) { it.report.took }
+        return entry.attempts.values.filter {
+            it.report.state.isHead() && it.report.attempt !in taken
+        }
+    }
+
+    private fun AttemptState.isHead() =
+        this == AttemptState.OPEN || this == AttemptState.DONE || this == AttemptState.HELD
+
+    private fun reconcile(entry: Entry) {
+        if (entry.attempts.size < 2) return
+        var open = false
+        val charged = heads(entry).filter { it.report.state != AttemptState.OPEN }
+            .sortedWith(compareBy({ !it.report.firm }, { it.report.root }))
+        val settler = settler(charged)
+        if (settler != null) grant(settler, charged.first())
+        for (known in charged.drop(1)) {
+            open = true
+            val report = known.report
+            if (known === settler) continue
+            context.send(
+                known.keeper,
+                LedgerMessage.Drop(report.request, report.attempt, report.version)
+            )
+        }
+        for (known in entry.attempts.values) {
+            if (known.report.state == AttemptState.MOVED && !isMoveSeen(entry, known)) {
+                open = true
+                // The first time, the report of the other attempt is usually under way.
+                if (entry.request in conflicts) finishMove(entry, known)
+            }
+        }
+        if (open) {
+            conflicts[entry.request] = context.now + context.settings.repeatAfter
+        } else {
+            conflicts.remove(entry.request)
+        }
+    }
+
+    /**
+     * The attempt that can settle a provisional charge which may not be dropped: its chain has
+     * ended before, so others may have been credited because of it.
+     */
+    private fun settler(charged: List<Known>): Known? {
+        if (charged.firstOrNull()?.report?.state != AttemptState.HELD) return null
+        return charged.drop(1).firstOrNull {
+            it.report.state == AttemptState.DONE && it.keeper == it.report.attempt.router
+        }
+    }
+
+    /** Lets an attempt take over the charge of another one. */
+    private fun grant(to: Known, from: Known) {
+        val report = to.report
+        val prior = Prior(from.report.attempt, from.keeper)
+        context.send(
+            report.attempt.router,
+            LedgerMessage.Decision(report.request, report.attempt, Verdict.GRANTED, listOf(prior))
+        )
+    }
+
+    private fun isMoveSeen(entry: Entry, known: Known): Boolean {
+        val target = entry.attempts[known.report.movedTo] ?: return true
+        return known.report.attempt in target.report.took
+    }
+
+    /** The charge left its keeper, but the attempt that it went to hasn't reported it. */
+    private fun finishMove(entry: Entry, known: Known) {
+        val report = known.report
+        val to = report.movedTo ?: return
+        val target = entry.attempts[to] ?: return
+        if (!context.directory.isDead(to.router)) {
+            grant(target, known)
+        } else if (target.keeper != to.router) {
+            context.send(known.keeper, LedgerMessage.Unmove(report.request, report.attempt, to))
+        }
+    }
+
+    private fun entryOf(request: RequestId): Entry? {
+        entries[request]?.let { return it }
+        if (entries.size >= context.settings.maxEntries) {
+            val oldest = entries.values.first()
+            if (oldest.attempts.values.any { isRunning(it) }) return null
+            entries.remove(oldest.request)
+            conflicts.remove(oldest.request)
+        }
+        return Entry(request).also {
+            it.touched = context.now
+            entries[request] = it
+        }
+    }
+
+    private fun isRunning(known: Known) = known.report.state == AttemptState.OPEN &&
+        context.directory.isLive(known.report.attempt.router)
+
+    /** Examines unresolved requests again. */
+    fun tick() {
+        if (conflicts.isEmpty()) return
+        val due = conflicts.filterValues { it <= context.now }.keys
+        for (request in due) {
+            val entry = entries[request]
+            if (entry == null) conflicts.remove(request) else reconcile(entry)
+        }
+    }
+
+    /** Removes what no retry can ask for any more. */
+    fun expire() {
+        val settings = context.settings
+        val ended = if (context.directory.split) settings.openWindow else settings.retryWindow
+        entries.values.removeIf { entry ->
+            val running = entry.attempts.values.any { isRunning(it) }
+            context.now - entry.touched > if (running) settings.openWindow else ended
+        }
+    }
+}
--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerAction.kt
@@ -36,12 +36,14 @@
     data class ReadRunRecord(val request: RequestId) : LedgerAction
 
     /**
-     * No copy peer can be reached: have the budget write the spend of these customers to the store.
-     * Answered by [LedgerEvent.SpendCommitted].
+     * No copy peer can be reached: have the budget write the spend of these customers, and the
+     * epoch, to the store. Answered by [LedgerEvent.SpendCommitted].
      *
-     * @property spent cumulative tokens by customer, at least this much
+     * @property epoch copies of an earlier epoch are out of date (see [RouterCopies.epoch])
+     * @property spent cumulative net tokens by customer
      */
-    data class CommitSpend(val number: Long, val spent: Map<CustomerId, Long>) : LedgerAction
+    data class CommitSpend(val number: Long, val epoch: Long, val spent: Map<CustomerId, Long>) :
+        LedgerAction
 
     /** Send the message once. A lost message is repeated by the ledger where it matters. */
     data class SendToPeer(val to: RouterId, val message: LedgerMessage) : LedgerAction
--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerMessage.kt
@@ -131,10 +131,14 @@
         val answer: RecordedAnswer? = null
     ) : LedgerMessage
 
-    /** Home to keeper: the attempt's charge duplicates another one; credit it. */
+    /**
+     * Home to keeper: the attempt's charge duplicates another one; credit it. It counts only for
+     * the [version] that the home saw, because the attempt may have taken the other charge over.
+     */
     @Serializable
     @SerialName("d")
-    data class Drop(val request: RequestId, val attempt: AttemptId) : LedgerMessage
+    data class Drop(val request: RequestId, val attempt: AttemptId, val version: Long) :
+        LedgerMessage
 
     /** Home to keeper: the attempt [to] died without [from]'s charge; undo the move. */
     @Serializable
@@ -164,15 +168,18 @@
     @SerialName("a")
     data class CopySeen(val epoch: Long, val sequence: Long) : LedgerMessage
 
-    /** Runner to an earlier copy peer: its copy is out of date from now on. */
+    /**
+     * To an earlier copy peer of [owner], by the owner or its present copy peer: copies before
+     * [epoch] are out of date.
+     */
     @Serializable
     @SerialName("x")
-    data class CopyMoved(val epoch: Long) : LedgerMessage
+    data class CopyMoved(val owner: RouterId, val epoch: Long) : LedgerMessage
 
-    /** Earlier copy peer to runner: the copies before [epoch] are discarded. */
+    /** The answer to [CopyMoved]: the copies of [owner] before [epoch] are discarded. */
     @Serializable
     @SerialName("y")
-    data class CopyDiscarded(val epoch: Long) : LedgerMessage
+    data class CopyDiscarded(val owner: RouterId, val epoch: Long) : LedgerMessage
 }
 
 /** A version of an attempt that the home has seen. */
--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerSettings.kt
@@ -14,9 +14,11 @@
  * @property claimLimit how long the home may take to answer before the next one is asked
  * @property copyInterval how long entries wait for a batch
  * @property copyLimit how long the copy peer may take to acknowledge before it is replaced
- * @property copyContact longest silence of a router after which its copy still counts as complete
+ * @property copyContact how long a copy peer must have been silent before requests start without
+ *   its word that it discarded an older copy; a router is heard from four times as often
  * @property repeatAfter how long an unacknowledged report waits before it is repeated
  * @property storeLimit how long a call may wait for its run record before it is refused
+ * @property storeInterval shortest time between two store calls for run records
  * @property batchSize the most entries in one message or store call
  * @property answerLength the longest body kept for a replay, in characters
  * @property answerMemory the most characters of bodies kept in all
@@ -31,6 +33,7 @@
     val copyContact: Duration = 5.seconds,
     val repeatAfter: Duration = 500.milliseconds,
     val storeLimit: Duration = 1.seconds,
+    val storeInterval: Duration = 20.milliseconds,
     val batchSize: Int = 64,
     val answerLength: Int = 8_192,
     val answerMemory: Long = 16_777_216,
--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/RequestLedger.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/RequestLedger.kt
@@ -5,13 +5,16 @@
 package org.hemlockpond.core.ledger
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
 import org.hemlockpond.core.CustomerId
-import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.Now
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
 
+/** How often expired entries are looked for; a scan passes over every entry. */
+private val EXPIRY_INTERVAL: Duration = 10.seconds
+
 /**
  * Decides which requests run, keeps their bills and copies them to a peer.
  *
@@ -26,76 +29,162 @@
  * to the real use, and the credit goes back to the budget of the router that served the retry.
  */
 class RequestLedger(
-    private val self: RouterId,
-    @Suppress("unused") private val domain: FailureDomain,
-    private val settings: LedgerSettings = LedgerSettings()
+    self: RouterId,
+    domain: FailureDomain,
+    settings: LedgerSettings = LedgerSettings()
 ) {
-    private class Entry(
-        val begin: LedgerEvent.Begin,
-        val attempt: AttemptId,
-        var answer: RecordedAnswer? = null,
-        var tokens: Long = 0,
-        var endedAt: Duration? = null
-    )
-
-    private val entries = HashMap<RequestId, Entry>()
-    private var attempts = 0L
+    private val context = LedgerContext(self, domain, settings)
+    private val keeper = Keeper(context)
+    private val records = RunRecords(context)
+    private val claims = ClaimFlow(context, keeper, records)
+    private val homes = HomeTable(context)
+    private val copies = CopyHolder(context)
+    private var expiredAt: Duration = Duration.ZERO
 
     /** Applies one event at the time [now] and returns what the router has to do, in order. */
-    fun handle(event: LedgerEvent, now: Now): List<LedgerAction> = when (event) {
-        is LedgerEvent.Begin -> begin(event)
+    fun handle(event: LedgerEvent, now: Now): List<LedgerAction> {
+        context.now = now.elapsed
+        apply(event)
+        while (context.loopback.isNotEmpty()) {
+            receive(context.self, context.loopback.removeFirst())
+        }
+        if (context.actions.isEmpty()) return emptyList()
+        return context.actions.toList().also { context.actions.clear() }
+    }
+
+    /** What this router's copy of [router] shows, or null if it holds none. */
+    fun copiesOf(router: RouterId): RouterCopies? = copies.copiesOf(router)
+
+    /** The cumulative net spend of this router's slice, as it is copied, in tokens. */
+    fun spent(customer: CustomerId): Long = keeper.sender.spentOf(customer)
+
+    /** Requests remembered: own attempts, entries of the home, and copies for other routers. */
+    val entries: Int get() = keeper.size + homes.size + copies.entries
+
+    private fun apply(event: LedgerEvent) {
+        when (event) {
+            is LedgerEvent.Begin -> claims.begin(event)
+
+            is LedgerEvent.Finish -> finish(event.request, event.used, event.answer, true)
 
-        is LedgerEvent.Finish -> finish(event.request, event.used, event.answer, now)
+            is LedgerEvent.Interrupted -> finish(event.request, event.used, null, false)
 
-        is LedgerEvent.Interrupted -> finish(event.request, event.used, null, now).minusRelease()
+            is LedgerEvent.Abandon -> abandon(event.request)
 
-        is LedgerEvent.Abandon -> {
-            entries.remove(event.request)
-            emptyList()
+            is LedgerEvent.RunRecordsWritten -> records.onWritten(event.number, event.outcomes)
+
+            is LedgerEvent.RunRecordRead -> records.onRead(event.request, event.result)
+
+            is LedgerEvent.SpendCommitted ->
+                keeper.sender.committed(event.number, event.committed)
+
+            is LedgerEvent.PeerReceived -> if (!context.directory.isDead(event.from)) {
+                receive(event.from, event.message)
+            }
+
+            is LedgerEvent.PeersChanged -> peersChanged(context.directory.update(event.peers))
+
+            is LedgerEvent.RouterDied -> routerDied(event.router)
+
+            is LedgerEvent.StoreReachable -> context.storeReachable = event.reachable
+
+            is LedgerEvent.SliceReturned -> keeper.sender.forget(event.customer)
+
+            LedgerEvent.Tick -> tick()
         }
+    }
 
-        else -> emptyList()
+    private fun receive(from: RouterId, message: LedgerMessage) {
+        when (message) {
+            is LedgerMessage.Claim -> homes.onClaim(from, message.report)
+
+            is LedgerMessage.Decision -> claims.onDecision(from, message)
+
+            is LedgerMessage.Reports -> homes.onReports(from, message.reports)
+
+            is LedgerMessage.ReportsSeen ->
+                for (seen in message.seen) keeper.reporter.onSeen(from, seen)
+
+            is LedgerMessage.TakeOver -> keeper.onTakeOver(from, message)
+
+            is LedgerMessage.TakenOver -> claims.onTakenOver(message)
+
+            is LedgerMessage.Drop -> keeper.onDrop(from, message)
+
+            is LedgerMessage.Unmove -> keeper.onUnmove(from, message)
+
+            is LedgerMessage.CopyBatch -> copies.onBatch(from, message)
+
+            is LedgerMessage.CopySeen -> keeper.sender.onSeen(from, message)
+
+            is LedgerMessage.CopyMoved -> copies.onMoved(from, message)
+
+            is LedgerMessage.CopyDiscarded -> keeper.sender.onDiscarded(from, message)
+        }
     }
 
-    /** What this router's copy of [router] shows, or null if it holds none. */
-    @Suppress("UnusedParameter", "FunctionOnlyReturningConstant")
-    fun copiesOf(router: RouterId): RouterCopies? = null
-
-    /** The cumulative net spend of this router by customer, in tokens. */
-    fun spent(customer: CustomerId): Long =
-        entries.values.filter { it.begin.customer == customer }.sumOf { it.tokens }
-
-    private fun List<LedgerAction>.minusRelease() = filter { it !is LedgerAction.Release }
-
-    private fun begin(event: LedgerEvent.Begin): List<LedgerAction> {
-        val known = entries[event.request]
-        val answer = known?.answer
-        return when {
-            known == null -> {
-                entries[event.request] = Entry(event, AttemptId(self, ++attempts))
-                listOf(LedgerAction.Proceed(event.request))
+    private fun finish(request: RequestId, used: Long, answer: RecordedAnswer?, release: Boolean) {
+        val attempt = keeper.current(request)?.takeIf { it.phase == Phase.RUNNING } ?: return
+        attempt.phase = Phase.ENDING
+        attempt.state = AttemptState.DONE
+        attempt.firm = true
+        attempt.total = used
+        attempt.endedAt = context.now
+        if (attempt.idempotent) {
+            keeper.keepAnswer(attempt, answer)
+        } else {
+            records.finished(attempt, used, answer)
+        }
+        val charge = used - attempt.takenOver
+        val credit = maxOf(0, used - attempt.announced) - charge
+        keeper.sender.spend(attempt.customer, charge)
+        keeper.changed(attempt) {
+            attempt.phase = Phase.ENDED
+            if (credit > 0) {
+                context.emit(LedgerAction.CreditBill(request, attempt.customer, credit))
             }
+            if (release) context.emit(LedgerAction.Release(request, attempt.bill()))
+        }
+    }
 
-            known.begin.digest != event.digest ->
-                listOf(LedgerAction.Reject(event.request, ErrorKind.KEY_REUSED))
+    private fun abandon(request: RequestId) {
+        val attempt = keeper.current(request) ?: return
+        when (attempt.phase) {
+            Phase.ENDING, Phase.ENDED -> return
+            Phase.RECORDING -> records.giveUp(attempt)
+            else -> Unit
+        }
+        claims.end(attempt)
+    }
 
-            answer != null -> listOf(LedgerAction.Replay(event.request, answer))
+    private fun peersChanged(added: Set<RouterId>) {
+        keeper.sender.peersChanged()
+        copies.checkContact()
+        keeper.peersChanged(added)
+    }
 
-            else -> listOf(LedgerAction.Reject(event.request, ErrorKind.KEY_IN_USE))
-        }
+    private fun routerDied(router: RouterId) {
+        if (context.directory.isDead(router)) return
+        copies.checkContact()
+        val adopted = copies.died(router)
+        context.directory.died(router)
+        keeper.adopt(adopted)
+        peersChanged(emptySet())
+        claims.routerDied(router)
     }
 
-    private fun finish(
-        request: RequestId,
-        used: Long,
-        answer: RecordedAnswer?,
-        now: Now
-    ): List<LedgerAction> {
-        val entry = entries[request]?.takeIf { it.endedAt == null } ?: return emptyList()
-        entry.tokens = used
-        entry.answer = answer?.takeIf { it.body.length <= settings.answerLength }
-        entry.endedAt = now.elapsed
-        val bill = Bill(request, entry.begin.customer, entry.attempt, used)
-        return listOf(LedgerAction.Release(request, bill))
+    private fun tick() {
+        claims.tick()
+        homes.tick()
+        records.tick()
+        keeper.sender.tick()
+        keeper.reporter.tick()
+        copies.checkContact()
+        if (context.now - expiredAt < EXPIRY_INTERVAL) return
+        expiredAt = context.now
+        keeper.expire()
+        homes.expire()
+        copies.expire()
+        records.expire()
     }
 }
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/ledger/LedgerWorld.kt
@@ -0,0 +1,379 @@
+/*
+ * A fleet of ledgers in simulated time, with a network, a store, budgets and callers that fail in
+ * ways drawn from one seed. Each request belongs to its own customer, so what a customer was
+ * charged is what the request was billed.
+ */
+package org.hemlockpond.core.ledger
+
+import java.util.PriorityQueue
+import kotlin.random.Random
+import kotlin.time.Duration.Companion.hours
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.Execution
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+
+private const val TICK = 20L
+
+internal class LedgerWorld(
+    seed: Long,
+    private val faults: Faults,
+    private val log: ((String) -> Unit)? = null
+) {
+    /** The kinds of faults in one schedule. */
+    data class Faults(
+        val loss: Boolean = false,
+        val partitions: Boolean = false,
+        val deaths: Boolean = false,
+        val pauses: Boolean = false,
+        val store: Boolean = false,
+        val isolation: Boolean = false
+    )
+
+    private class Due(val at: Long, val order: Long, val run: () -> Unit)
+
+    private val random = Random(seed)
+    private val queue = PriorityQueue<Due>(compareBy({ it.at }, { it.order }))
+    private var order = 0L
+    private val store = SimulatedStore(random, this, faults.store)
+    private var domainsCut = false
+    private val settings = LedgerSettings(
+        copyInterval = 10.milliseconds,
+        copyContact = 400.milliseconds,
+        repeatAfter = 200.milliseconds,
+        storeLimit = 300.milliseconds,
+        openWindow = 1.hours
+    )
+    val nodes = listOf("a", "b").flatMap { domain ->
+        (1..3).map { Node(RouterId("$domain$it"), FailureDomain(domain), settings) }
+    }
+    val callers = ArrayList<Caller>()
+    val violations = ArrayList<String>()
+
+    /** Routers whose death falls into the documented in-doubt cases. */
+    val doubtful = HashSet<RouterId>()
+    private val isolations = ArrayList<Pair<Node, LongRange>>()
+    var time = 0L
+        private set
+
+    fun run() {
+        for (node in nodes) {
+            after(random.nextLong(TICK)) { tick(node) }
+        }
+        membership()
+        repeat(random.nextInt(3, 7)) { addCaller(it) }
+        if (faults.partitions && random.nextInt(4) > 0) addPartition()
+        if (faults.deaths) repeat(random.nextInt(1, 4)) { addDeath() }
+        if (faults.pauses) repeat(random.nextInt(1, 3)) { addPause() }
+        if (faults.store) repeat(random.nextInt(1, 3)) { addStoreOutage() }
+        if (faults.isolation) addIsolation()
+        while (true) {
+            val due = queue.poll() ?: break
+            if (due.at > END) break
+            time = due.at
+            due.run()
+        }
+    }
+
+    fun after(delay: Long, run: () -> Unit) {
+        queue += Due(time + delay, order++, run)
+    }
+
+    private fun tick(node: Node) {
+        if (!node.isAlive) return
+        deliver(node, LedgerEvent.Tick)
+        after(TICK) { tick(node) }
+    }
+
+    /** Passes an event to a router; a paused one gets it when it resumes. */
+    fun deliver(node: Node, event: LedgerEvent) {
+        if (!node.isAlive) return
+        if (node.pausedUntil > time) {
+            node.inbox += event
+            return
+        }
+        val now = Now(time.milliseconds, Instant.fromEpochMilliseconds(time))
+        if (event != LedgerEvent.Tick) log?.invoke("$time ${node.id} <- $event")
+        for (action in node.ledger.handle(event, now)) {
+            log?.invoke("$time ${node.id} -> $action")
+            perform(node, action)
+        }
+        if (event is LedgerEvent.RouterDied) close(event.router, node)
+    }
+
+    private fun perform(node: Node, action: LedgerAction) {
+        when (action) {
+            is LedgerAction.SendToPeer -> transmit(node, action.to, action.message)
+
+            is LedgerAction.Proceed -> proceed(node, action)
+
+            is LedgerAction.Reject -> answer(node, action.request, action.kind)
+
+            is LedgerAction.Replay -> answer(node, action.request, action.answer)
+
+            is LedgerAction.Release -> released(node, action)
+
+            is LedgerAction.CreditBill -> node.spent.merge(
+                action.customer,
+                -action.tokens,
+                Long::plus
+            )
+
+            is LedgerAction.WriteRunRecords -> store.writeRecords(node, action)
+
+            is LedgerAction.ReadRunRecord -> store.readRecord(node, action.request)
+
+            is LedgerAction.CommitSpend -> store.commit(node, action)
+        }
+    }
+
+    private fun canReach(from: Node, to: Node): Boolean = !from.isolated && !to.isolated &&
+        !(domainsCut && from.domain != to.domain)
+
+    private fun transmit(from: Node, to: RouterId, message: LedgerMessage) {
+        val target = nodes.first { it.id == to }
+        val copies = if (faults.loss && random.nextInt(25) == 0) 2 else 1
+        repeat(copies) {
+            if (faults.loss && random.nextInt(50) == 0) return@repeat
+            val slow = faults.loss && random.nextInt(20) == 0
+            after(if (slow) random.nextLong(1, 80) else random.nextLong(1, 4)) {
+                if (canReach(from, target)) {
+                    deliver(target, LedgerEvent.PeerReceived(from.id, message))
+                }
+            }
+        }
+    }
+
+    /** Tells every router, after a lag, who is live and who can be reached; proves deaths. */
+    private fun membership() {
+        for (node in nodes) {
+            after(random.nextLong(20, 80)) {
+                if (!node.isAlive) return@after
+                val peers = ArrayList<Peer>()
+                for (other in nodes) {
+                    if (other == node) continue
+                    val reach = canReach(node, other)
+                    if (!other.isAlive && reach && node.provenTo.add(other.id)) {
+                        deliver(node, LedgerEvent.RouterDied(other.id))
+                    }
+                    if (other.id in node.provenTo) continue
+                    peers += Peer(other.id, other.domain, reach && other.isAlive)
+                }
+                deliver(node, LedgerEvent.PeersChanged(peers))
+            }
+        }
+    }
+
+    /** The budget closes a dead router's slices from the first complete copy. */
+    private fun close(router: RouterId, by: Node) {
+        val dead = nodes.first { it.id == router }
+        val copies = by.ledger.copiesOf(router)
+        if (dead.closed != null || copies?.complete != true) return
+        if (copies.epoch < (store.epochs[router] ?: 0)) return
+        dead.closed = (copies.settled.keys + copies.open.keys).associateWith {
+            (copies.settled[it] ?: 0) + (copies.open[it] ?: 0)
+        }
+    }
+
+    private fun addCaller(number: Int) {
+        val caller = Caller(number, random.nextInt(4) > 0)
+        callers += caller
+        var at = random.nextLong(100, 1_500)
+        repeat(random.nextInt(1, 4)) { attempt ->
+            val digest = if (attempt > 0 && random.nextInt(12) == 0) "other" else "content"
+            after(at) { call(caller, digest) }
+            at += if (random.nextInt(5) == 0) random.nextLong(3) else random.nextLong(30, 1_500)
+        }
+    }
+
+    private fun call(caller: Caller, digest: String) {
+        val able = nodes.filter { it.isAlive && it.pausedUntil <= time }
+        val node = able.randomOrNull(random) ?: return
+        val call = Call(node, caller, digest, time)
+        caller.calls += call
+        val busy = node.active[caller.request]
+        if (busy == null) node.active[caller.request] = call
+        val begin = LedgerEvent.Begin(
+            caller.request,
+            caller.customer,
+            digest,
+            caller.idempotent,
+            RESERVED
+        )
+        if (busy != null) {
+            // The second Begin is answered within the call; the first one's call stays active.
+            val now = Now(time.milliseconds, Instant.fromEpochMilliseconds(time))
+            val reply = node.ledger.handle(begin, now).single() as LedgerAction.Reject
+            call.reply = reply.kind
+            call.answeredAt = time
+        } else {
+            node.held.merge(caller.customer, RESERVED, Long::plus)
+            deliver(node, begin)
+        }
+    }
+
+    private fun proceed(node: Node, action: LedgerAction.Proceed) {
+        val call = node.active.getValue(action.request)
+        if (call.proceeded) violations += "${action.request}: proceeded twice at ${node.id}"
+        call.proceeded = true
+        call.answeredAt = time
+        call.takenOver = action.takenOver
+        node.held.merge(call.caller.customer, -minOf(RESERVED, action.takenOver), Long::plus)
+        after(random.nextLong(5, 250)) { end(node, call) }
+    }
+
+    private fun end(node: Node, call: Call) {
+        if (!node.isAlive) return
+        if (node.pausedUntil > time) {
+            after(node.pausedUntil - time + 1) { end(node, call) }
+            return
+        }
+        val request = call.caller.request
+        val hold = maxOf(0, RESERVED - call.takenOver)
+        node.held.merge(call.caller.customer, -hold, Long::plus)
+        val used = random.nextLong(10, 100)
+        val kind = random.nextInt(10)
+        if (kind == 0) {
+            call.abandoned = true
+            node.active.remove(request)
+            deliver(node, LedgerEvent.Abandon(request))
+            return
+        }
+        call.used = used
+        node.spent.merge(call.caller.customer, maxOf(0, used - call.takenOver), Long::plus)
+        if (kind == 1) {
+            node.active.remove(request)
+            deliver(node, LedgerEvent.Interrupted(request, used))
+            return
+        }
+        val answer = RecordedAnswer(200, "application/json", "$request $used")
+        if (kind > 3) call.caller.answers += answer
+        deliver(node, LedgerEvent.Finish(request, used, answer.takeIf { kind > 3 }))
+    }
+
+    private fun released(node: Node, action: LedgerAction.Release) {
+        val call = node.active.remove(action.request)
+        if (call?.used != action.bill.tokens) violations += "${action.request}: wrong release"
+        call?.released = true
+    }
+
+    private fun answer(node: Node, request: RequestId, reply: Any) {
+        val call = node.active.remove(request)
+        if (call == null) {
+            violations += "$request: $reply without a call at ${node.id}"
+            return
+        }
+        node.held.merge(call.caller.customer, -RESERVED, Long::plus)
+        call.reply = reply
+        call.answeredAt = time
+        if (call.proceeded && (reply as? ErrorKind)?.execution == Execution.NOT_RUN) {
+            violations += "$request: untrue not run, $reply at ${node.id}"
+        }
+    }
+
+    private fun addPartition() {
+        after(random.nextLong(50, 1_500)) {
+            domainsCut = true
+            membership()
+            after(random.nextLong(200, 1_500)) {
+                domainsCut = false
+                membership()
+            }
+        }
+    }
+
+    private fun addDeath() {
+        after(random.nextLong(100, 3_000)) {
+            val node = nodes.filter { it.isAlive }.random(random)
+            val near = nodes.filter { it != node && it.domain == node.domain }
+            for (other in near) {
+                val diedAt = other.diedAt ?: continue
+                if (time - diedAt < SECOND_FAILURE) {
+                    doubtful += other.id
+                    doubtful += node.id
+                }
+            }
+            val cut = isolations.any { (isolated, span) ->
+                isolated.domain == node.domain && time in span.first..span.last + SECOND_FAILURE
+            }
+            val alone = near.none { it.isAlive } || time - node.aloneAt < SECOND_FAILURE
+            if (cut || alone) doubtful += node.id
+            log?.invoke("$time ${node.id} died")
+            node.diedAt = time
+            node.active.clear()
+            node.inbox.clear()
+            membership()
+        }
+    }
+
+    private fun addPause() {
+        after(random.nextLong(100, 2_500)) {
+            val node = nodes.filter { it.isAlive }.random(random)
+            if (node.pausedUntil <= time) node.pausedSince = time
+            val until = time + random.nextLong(50, 1_000)
+            node.pausedUntil = maxOf(node.pausedUntil, until)
+            after(until - time) { resume(node) }
+        }
+    }
+
+    private fun resume(node: Node) {
+        if (node.pausedUntil > time) return
+        val from = node.pausedSince - TICK
+        if (time - from > settings.copyContact.inWholeMilliseconds) {
+            doubtful += nodes.filter { other ->
+                other.domain == node.domain && (other.diedAt ?: 0) > from - DETECTION
+            }.map { it.id }
+        }
+        while (node.inbox.isNotEmpty()) deliver(node, node.inbox.removeFirst())
+    }
+
+    private fun addStoreOutage() {
+        after(random.nextLong(50, 1_500)) {
+            val hit = nodes.filter { random.nextBoolean() }
+            setStore(hit, cut = true)
+            after(random.nextLong(100, 1_200)) { setStore(hit, cut = false) }
+        }
+    }
+
+    private fun setStore(hit: List<Node>, cut: Boolean) {
+        for (node in hit) {
+            node.storeCut = cut
+            after(random.nextLong(20, 80)) {
+                deliver(node, LedgerEvent.StoreReachable(!node.storeCut))
+            }
+        }
+    }
+
+    private fun addIsolation() {
+        val at = random.nextLong(100, 1_500)
+        val length = random.nextLong(200, 1_500)
+        after(at) {
+            val node = nodes.filter { it.isAlive }.random(random)
+            isolations += node to time..time + length
+            val near = nodes.filter { it.domain == node.domain }
+            doubtful += near.filter { time - (it.diedAt ?: -SECOND_FAILURE) < SECOND_FAILURE }
+                .map { it.id }
+            node.isolated = true
+            membership()
+            after(length) {
+                node.isolated = false
+                membership()
+            }
+        }
+    }
+
+    companion object {
+        /** Every fault has ended by 4.5 s; the rest is for reconciliation. */
+        const val END = 8_000L
+
+        /** Two deaths in one failure domain within this time are a documented in-doubt case. */
+        const val SECOND_FAILURE = 1_500L
+
+        /** The longest time from a death to its proof. */
+        const val DETECTION = 100L
+    }
+}
