--- a/core/src/main/kotlin/org/hemlockpond/core/moves/Evidence.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/Evidence.kt
@@ -6,6 +6,7 @@
 package org.hemlockpond.core.moves
 
 import kotlin.math.max
+import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.RouterId
 
 /** The sums of both versions under one set of conditions. */
@@ -17,47 +18,56 @@
 }
 
 internal class Evidence {
-    private data class Source(val router: RouterId, val cell: CellKey, val new: Boolean)
+    private data class Source(val cell: CellKey, val new: Boolean)
 
-    private val sources = HashMap<Source, Tally>()
+    private val sources = HashMap<RouterId, HashMap<Source, Tally>>()
     private val sums = HashMap<CellKey, Cell>()
+    private val oldSums = HashMap<FailureDomain, Tally>()
     private val changed = LinkedHashSet<CellKey>()
 
     val cells: Map<CellKey, Cell> get() = sums
 
+    /** The old version's sums by failure domain. */
+    val oldByDomain: Map<FailureDomain, Tally> get() = oldSums
+
     /** The cells whose sums changed since the last call. */
     fun takeChanged(): List<CellKey> = changed.toList().also { changed.clear() }
 
     /** Counts one result of router [self]. */
     fun add(self: RouterId, cell: CellKey, new: Boolean, result: OutcomeResult) {
-        sources.getOrPut(Source(self, cell, new)) { Tally() }.add(result)
+        source(self, cell, new).add(result)
         sums.getOrPut(cell) { Cell() }.side(new).add(result)
+        if (!new) oldSums.getOrPut(cell.domain) { Tally() }.add(result)
         changed += cell
     }
 
     /** Takes the larger of the present and the reported value of each of [router]'s counters. */
     fun merge(router: RouterId, reports: List<CellReport>) {
         for (report in reports) {
-            val mine = sources.getOrPut(Source(router, report.cell, report.new)) { Tally() }
+            val mine = source(router, report.cell, report.new)
             val sum = sums.getOrPut(report.cell) { Cell() }.side(report.new)
+            val old = oldSums.getOrPut(report.cell.domain) { Tally() }
             for ((index, count) in report.counts) {
                 if (index !in 0 until Tally.SIZE) continue
                 val growth = max(0, count - mine.counts[index])
                 if (growth == 0) continue
                 mine.counts[index] += growth
                 sum.counts[index] += growth
+                if (!report.new) old.counts[index] += growth
                 changed += report.cell
             }
         }
     }
 
-    /** The counters of [router], of the cells that [select] accepts. */
-    fun reports(router: RouterId, select: (CellKey) -> Boolean = { true }): List<CellReport> =
-        sources.filter { (source, _) -> source.router == router && select(source.cell) }
-            .map { (source, tally) -> CellReport(source.cell, source.new, tally.toMap()) }
-            .sortedWith(
-                compareBy({ it.cell.period }, { it.cell.domain.value }, { it.cell.load }, {
-                    it.cell.step
-                }, { it.new })
-            )
+    /** The counters of [router], of [cells] or of all its cells. */
+    fun reports(router: RouterId, cells: Collection<CellKey>? = null): List<CellReport> {
+        val own = sources[router].orEmpty()
+        val wanted = cells?.flatMap { listOf(Source(it, false), Source(it, true)) } ?: own.keys
+        return wanted.mapNotNull { source ->
+            own[source]?.let { CellReport(source.cell, source.new, it.toMap()) }
+        }
+    }
+
+    private fun source(router: RouterId, cell: CellKey, new: Boolean): Tally =
+        sources.getOrPut(router) { HashMap() }.getOrPut(Source(cell, new)) { Tally() }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveFollower.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveFollower.kt
@@ -19,13 +19,23 @@
 /** What a router knows of a route's latest move. */
 internal class KnownMove(var record: MoveRecord, var revision: Long, settings: MoveSettings) {
     val evidence = Evidence()
-    val tests = Metric.entries.map { SequentialTest(it, settings) }
+    val failures = SequentialTest(Metric.FAILURES, settings.longestSeries, settings.loadLevels)
+    val latencies = listOf(Metric.FIRST_TOKEN, Metric.TOKEN_GAP)
+        .map { SequentialTest(it, settings.longestSeries, settings.loadLevels) }
+    val tests = listOf(failures) + latencies
+
+    /** Changed cells that the tests of latencies haven't seen. */
+    val unjudged = LinkedHashSet<CellKey>()
+    var latenciesJudged: Duration = Duration.ZERO
     val period: Duration = maxOf(settings.shortestPeriod, record.length / settings.longestSeries)
     var stop: RollbackCause? = null
 
     /** Own cells with counts that the peers haven't been sent. */
     val unsent = LinkedHashSet<CellKey>()
 
+    /** Own cells of the last periods. */
+    val recent = LinkedHashSet<CellKey>()
+
     /** Whether the new version must get no traffic. */
     val stopped: Boolean get() = stop != null || record.state == MoveState.ROLLED_BACK
 }
@@ -62,7 +72,7 @@
                 }
             }
 
-            is MoveEvent.PeerReceived -> onPeer(event.from, event.message)
+            is MoveEvent.PeerReceived -> onPeer(event.from, event.message, now)
 
             is MoveEvent.PeersChanged -> onPeers(event.routers)
 
@@ -152,20 +162,39 @@
         val period = ((now.wall - record.start) / move.period).toInt()
         val moved = endpoints[event.route].orEmpty()
             .count { it.domain == event.domain && runs(record, it) == record.to }
-        val load = (event.load * settings.loadLevels).toInt().coerceIn(0, settings.loadLevels - 1)
+        val load = (event.load / settings.overload * settings.loadLevels).toInt()
+            .coerceIn(0, settings.loadLevels)
         val key = CellKey(moved, period, event.domain, load)
         move.evidence.add(self, key, new, event.result)
         move.unsent += key
-        judge(move)
+        move.recent += key
+        // The other results are judged at the next tick.
+        if (!new || event.result != OutcomeResult.Failed) return
+        judge(move, now)
+        if (now.elapsed - lastReport >= settings.urgentInterval) {
+            lastReport = now.elapsed
+            report(move)
+        }
     }
 
-    private fun MutableList<MoveAction>.judge(move: KnownMove) {
+    /** Judges failures at once, and latencies, which need more samples, every second. */
+    private fun MutableList<MoveAction>.judge(move: KnownMove, now: Now) {
         for (key in move.evidence.takeChanged()) {
-            val cell = move.evidence.cells.getValue(key)
-            for (test in move.tests) test.update(key, cell)
+            move.failures.update(key, move.evidence.cells.getValue(key))
+            move.unjudged += key
+        }
+        val due = now.elapsed - move.latenciesJudged >= settings.latencyInterval
+        if (due) {
+            move.latenciesJudged = now.elapsed
+            for (key in move.unjudged) {
+                val cell = move.evidence.cells.getValue(key)
+                for (test in move.latencies) test.update(key, cell)
+            }
+            move.unjudged.clear()
         }
         if (move.stopped) return
-        val test = move.tests.firstOrNull { it.logEValue() >= logThreshold } ?: return
+        val tests = if (due) move.tests else listOf(move.failures)
+        val test = tests.firstOrNull { it.logEValue() >= logThreshold } ?: return
         stop(move, RollbackCause.Worse(test.finding()))
     }
 
@@ -174,13 +203,13 @@
         add(stopMessage(move, cause))
     }
 
-    private fun MutableList<MoveAction>.onPeer(from: RouterId, message: MoveMessage) {
+    private fun MutableList<MoveAction>.onPeer(from: RouterId, message: MoveMessage, now: Now) {
         when (message) {
             is MoveMessage.EvidenceReport -> {
                 val move = moves[message.route] ?: return
                 if (message.number != move.record.number) return
                 move.evidence.merge(from, message.cells)
-                judge(move)
+                if (message.cells.any { it.new && Tally.FAILED in it.counts }) judge(move, now)
             }
 
             is MoveMessage.Stop -> {
@@ -202,7 +231,7 @@
         if (joined.isEmpty()) return
         for (move in moves.values) {
             add(notice(move.record, move.revision))
-            if (move.record.state == MoveState.RUNNING) report(move) { true }
+            if (move.record.state == MoveState.RUNNING) report(move, null)
             move.stop?.let { add(stopMessage(move, it)) }
         }
     }
@@ -216,25 +245,27 @@
             lastRepeat = now.elapsed
             moves.values.forEach { repeat(it, now) }
         }
-        moves.values.forEach { judge(it) }
+        moves.values.forEach { judge(it, now) }
     }
 
     /** Sends recent counters and an unfinished stop again, in case messages were lost. */
     private fun MutableList<MoveAction>.repeat(move: KnownMove, now: Now) {
         val record = move.record
+        if (!move.stopped) for (test in move.tests) test.rebase(move.evidence.oldByDomain)
         move.stop?.let {
             if (record.state != MoveState.ROLLED_BACK) add(stopMessage(move, it))
         }
         if (record.state != MoveState.RUNNING || now.wall < record.start) return
         val oldest = (now.wall - record.start - settings.repeatInterval * REPEATS) / move.period
-        report(move) { it.period >= oldest }
+        move.recent.removeIf { it.period < oldest }
+        report(move, move.recent)
     }
 
     private fun MutableList<MoveAction>.report(
         move: KnownMove,
-        select: (CellKey) -> Boolean = { it in move.unsent }
+        keys: Collection<CellKey>? = move.unsent
     ) {
-        val cells = move.evidence.reports(self, select)
+        val cells = move.evidence.reports(self, keys)
         move.unsent.clear()
         if (cells.isEmpty() || peers.isEmpty()) return
         val message =
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveMessage.kt
@@ -36,7 +36,7 @@
  * The conditions under which requests are compared.
  *
  * @property period the number of the period since the start of the move
- * @property load the load level, from 0 (idle) to [MoveSettings.loadLevels] - 1
+ * @property load the load level, from 0 (idle) to [MoveSettings.loadLevels] (overloaded)
  */
 @Serializable
 data class CellKey(val step: Int, val period: Int, val domain: FailureDomain, val load: Int)
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveSettings.kt
@@ -9,15 +9,14 @@
  *
  * @property threshold the e-value at which a version counts as worse. By Ville's inequality a test
  *   reaches it for a good version with probability at most `1 / threshold`
- * @property failureTolerance the odds ratio of failures, new to old, that isn't held against a
- *   version
- * @property latencyTolerance the odds ratio of slow requests that isn't held against a version.
- *   Endpoints of one version differ by some 20%, which moves the odds of a slow request by about 2
  * @property shortestPeriod the length of the periods within which versions are compared
  * @property longestSeries the most periods of one move; long moves get longer periods
- * @property loadLevels the load levels that are kept apart
+ * @property overload the load from which a failure domain counts as overloaded
+ * @property loadLevels the load levels below [overload] that are kept apart
  * @property firstTokenWait the wait after which a missing first token is reported as slow
  * @property exchangeInterval the time between evidence reports to the peers
+ * @property urgentInterval the time between reports while the new version fails requests
+ * @property latencyInterval the time between judgements of latencies
  * @property repeatInterval the time after which recent counters and notices are sent again
  * @property leaseMargin how long before the end of its lease a controller stops
  * @property quietPeriod how long a new controller waits before it speaks to endpoints that don't
@@ -30,13 +29,14 @@
  */
 data class MoveSettings(
     val threshold: Double = 1000.0,
-    val failureTolerance: Double = 1.25,
-    val latencyTolerance: Double = 2.0,
     val shortestPeriod: Duration = 5.seconds,
     val longestSeries: Int = 240,
+    val overload: Double = 0.8,
     val loadLevels: Int = 3,
     val firstTokenWait: Duration = 5.seconds,
     val exchangeInterval: Duration = 500.milliseconds,
+    val urgentInterval: Duration = 100.milliseconds,
+    val latencyInterval: Duration = 1.seconds,
     val repeatInterval: Duration = 5.seconds,
     val leaseMargin: Duration = 2.seconds,
     val quietPeriod: Duration = 10.seconds,
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/Tally.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/Tally.kt
@@ -43,7 +43,7 @@
         const val BUCKETS = 24
         const val SIZE = 2 + 2 * BUCKETS
         private const val COMPLETED = 0
-        private const val FAILED = 1
+        const val FAILED = 1
 
         // The upper ends of the lowest buckets; the highest bucket begins 2^11.5 times higher.
         private val lowestFirstToken = 10.milliseconds
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/moves/MoveFleet.kt
@@ -0,0 +1,239 @@
+/*
+ * A fleet of followers in paused time, with fakes of the store, the lease, the network between
+ * routers and the endpoints. Traffic and outcomes come from one seeded generator.
+ */
+package org.hemlockpond.core.moves
+
+import java.util.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import org.hemlockpond.core.EndpointConfig
+import org.hemlockpond.core.EndpointId
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.FleetConfig
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouteConfig
+import org.hemlockpond.core.RouteId
+import org.hemlockpond.core.RouteKind
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.VersionId
+
+internal val route = RouteId("advice")
+internal val v1 = VersionId("v1")
+internal val v2 = VersionId("v2")
+internal val epoch = Instant.fromEpochSeconds(1_800_000_000)
+
+/** What a request meets: the probability of failure and the factor on its latencies. */
+internal data class Behaviour(val failures: Double = 0.01, val slowness: Double = 1.0)
+
+internal fun domainOf(index: Int) = FailureDomain("zone-${index % MoveFleet.DOMAINS}")
+
+internal class FakeEndpoint(val config: EndpointConfig) {
+    var version = v1
+    private var fencing = 0L
+
+    fun order(order: EndpointOrder, number: Long): OrderAnswer {
+        if (config.checksFencing && number < fencing) return OrderAnswer.Fenced
+        fencing = maxOf(fencing, number)
+        if (order is EndpointOrder.Load) version = order.version
+        return OrderAnswer.Runs(version)
+    }
+}
+
+internal class MoveFleet(
+    val length: Duration = 600.seconds,
+    checksFencing: Boolean = true,
+    private val perTick: Int = 8,
+    val behaviour: MoveFleet.(new: Boolean, domain: FailureDomain) -> Behaviour =
+        { _, _ -> Behaviour() }
+) {
+    private val random = Random(7)
+    val ids = List(ROUTERS) { RouterId("router-$it") }
+    val endpoints = List(ENDPOINTS) {
+        FakeEndpoint(
+            EndpointConfig(
+                EndpointId("runner-$it"),
+                route,
+                v1,
+                domainOf(it),
+                "127.0.0.1",
+                1,
+                checksFencing = checksFencing
+            )
+        )
+    }
+    val config = FleetConfig(
+        routes = listOf(RouteConfig(route, RouteKind.MODEL, v1)),
+        endpoints = endpoints.map { it.config }
+    )
+    val followers = ids.mapIndexed { i, id -> MoveFollower(id, domainOf(i)) }
+    var time = Duration.ZERO
+    var record: MoveRecord
+    var revision = 1L
+    var storeUp = true
+    var cut: FailureDomain? = null
+    var load = 0.3
+    val paused = mutableSetOf<Int>()
+
+    /** The router that holds the lease, and its fencing number. */
+    var holder = 0
+    var fencing = 10L
+    val log = mutableListOf<String>()
+    val ended = mutableListOf<MoveAction.MoveEnded>()
+    val orders = mutableListOf<Pair<Int, MoveAction.OrderEndpoint>>()
+    var newRequests = 0
+    private var requests = 0
+    private val queue = ArrayDeque<() -> Unit>()
+
+    init {
+        val change = startMove(null, route, v1, v2, epoch, epoch + length)
+        record = (change as RecordChange.Write).record
+        for (i in ids.indices) {
+            tell(i, MoveEvent.ConfigChanged(config))
+            tell(i, MoveEvent.PeersChanged(ids.toSet() - ids[i]))
+        }
+        queue.clear()
+    }
+
+    fun now() = Now(time, epoch + time)
+
+    fun storeReachable(router: Int) = storeUp && domainOf(router) != cut
+
+    private fun connected(a: Int, b: Int) =
+        domainOf(a) == domainOf(b) || (domainOf(a) != cut && domainOf(b) != cut)
+
+    /** Ends a partition; the routers see one another as live again. */
+    fun heal() {
+        cut = null
+        for (i in ids.indices) {
+            tell(i, MoveEvent.PeersChanged(emptySet()))
+            tell(i, MoveEvent.PeersChanged(ids.toSet() - ids[i]))
+        }
+    }
+
+    fun run(duration: Duration) {
+        val end = time + duration
+        while (time < end) {
+            time += TICK
+            if (storeReachable(holder)) {
+                tell(holder, MoveEvent.ControllerLease(true, fencing, time + LEASE))
+            }
+            for (i in ids.indices) {
+                if (storeReachable(i)) tell(i, MoveEvent.RecordRead(route, record, revision))
+                tell(i, MoveEvent.Tick)
+            }
+            repeat(perTick) { request() }
+            while (queue.isNotEmpty()) queue.removeFirst()()
+        }
+    }
+
+    private fun request() {
+        val id = requests++
+        val router = id % ROUTERS
+        if (router in paused) return
+        val version = followers[router].versionFor(route, RequestId("r$id"), now()) ?: v1
+        val domain = domainOf(router)
+        if (version == v2) newRequests++
+        val (failures, slowness) = behaviour(version == v2, domain)
+        val failed = random.nextDouble() < failures
+        val first = (300 * slowness * (0.6 + 0.8 * random.nextDouble())).milliseconds
+        val gap = (40 * slowness * (0.6 + 0.8 * random.nextDouble())).milliseconds
+        val results = if (failed) {
+            listOf(OutcomeResult.Failed)
+        } else {
+            listOf(
+                OutcomeResult.FirstToken(first),
+                OutcomeResult.TokenGap(gap),
+                OutcomeResult.Completed
+            )
+        }
+        for (result in results) {
+            tell(router, MoveEvent.Outcome(route, version, domain, load, result))
+        }
+    }
+
+    fun tell(router: Int, event: MoveEvent): List<MoveAction> {
+        if (router in paused) return emptyList()
+        val actions = followers[router].handle(event, now())
+        for (action in actions) perform(router, action)
+        return actions
+    }
+
+    private fun perform(router: Int, action: MoveAction) {
+        if (action !is MoveAction.SendToPeers || action.message is MoveMessage.Stop) {
+            log += "${time.inWholeSeconds}s router-$router ${describe(action)}"
+        }
+        when (action) {
+            is MoveAction.SendToPeers -> for (peer in ids.indices) {
+                if (peer == router || !connected(router, peer)) continue
+                queue += { tell(peer, MoveEvent.PeerReceived(ids[router], action.message)) }
+            }
+
+            is MoveAction.ReadRecord -> if (storeReachable(router)) {
+                queue += { tell(router, MoveEvent.RecordRead(route, record, revision)) }
+            }
+
+            is MoveAction.WriteRecord -> queue += { write(router, action) }
+
+            is MoveAction.OrderEndpoint -> {
+                orders += router to action
+                val endpoint = endpoints.first { it.config.id == action.endpoint }
+                val answer = endpoint.order(action.order, action.fencing)
+                queue += {
+                    tell(
+                        router,
+                        MoveEvent.OrderResult(
+                            action.endpoint,
+                            action.order,
+                            action.fencing,
+                            answer
+                        )
+                    )
+                }
+            }
+
+            is MoveAction.MoveEnded -> ended += action
+        }
+    }
+
+    fun write(router: Int, action: MoveAction.WriteRecord): WriteOutcome {
+        val outcome = when {
+            !storeReachable(router) -> WriteOutcome.UNKNOWN
+            action.expectedRevision != revision -> WriteOutcome.CONFLICT
+            else -> WriteOutcome.APPLIED
+        }
+        if (outcome == WriteOutcome.APPLIED) {
+            record = action.record
+            revision++
+        }
+        tell(router, MoveEvent.RecordWritten(route, outcome, revision))
+        return outcome
+    }
+
+    private fun describe(action: MoveAction): String = when (action) {
+        is MoveAction.ReadRecord -> "reads the record"
+
+        is MoveAction.WriteRecord -> with(action.record) {
+            "writes $state at fencing $fencing, placed ${placed.size}, announced $announced"
+        }
+
+        is MoveAction.OrderEndpoint -> "orders ${action.endpoint}: ${action.order}"
+
+        is MoveAction.SendToPeers -> "sends ${action.message::class.simpleName}"
+
+        is MoveAction.MoveEnded ->
+            "announces ${action.result} with ${action.version} in force, " +
+                "metric ${(action.cause as? RollbackCause.Worse)?.finding?.metric}"
+    }
+
+    companion object {
+        const val DOMAINS = 2
+        const val ROUTERS = 4
+        const val ENDPOINTS = 6
+        val TICK = 250.milliseconds
+        val LEASE = 10.seconds
+    }
+}
