State an unknown outcome while a request with the same key runs

Cause: the retry of a certificate whose first answer was lost could get key-in-use with execution not_run, although the first attempt may have run. The kind now says unknown; the retry settles to outcome-unknown once the run record is written.

--- a/core/src/main/kotlin/org/hemlockpond/core/ErrorKind.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ErrorKind.kt
@@ -37,7 +37,7 @@
     UNKNOWN_ROUTE(404, Execution.NOT_RUN, false, "no route has this name or path"),
     METHOD_NOT_ALLOWED(405, Execution.NOT_RUN, false, "the route doesn't accept this method"),
     REQUEST_TIMEOUT(408, Execution.NOT_RUN, true, "the request wasn't sent in time"),
-    KEY_IN_USE(409, Execution.NOT_RUN, true, "a request with this idempotency key is running"),
+    KEY_IN_USE(409, Execution.UNKNOWN, true, "a request with this idempotency key is running"),
     OUTCOME_UNKNOWN(
         409,
         Execution.UNKNOWN,
--- a/standins/src/test/kotlin/org/hemlockpond/standins/TestFleet.kt
+++ b/standins/src/test/kotlin/org/hemlockpond/standins/TestFleet.kt
@@ -206,6 +206,13 @@
             .decodeFromString(BudgetRecord.serializer(), read.values.single().value)
     }
 
+    /** The ids of the routers whose leases stand. */
+    fun registeredRouters(): List<String> = runBlocking {
+        val prefix = "hemlockpond/routers/"
+        val read = client.readPrefix(prefix) as ReadResult.Values
+        read.values.map { it.key.removePrefix(prefix) }
+    }
+
     fun setFaults(json: String) = post("http://127.0.0.1:${store.port}/faults", json, emptyMap())
 
     fun get(url: String): HttpResponse<String> = http.send(
