--- a/standins/src/main/kotlin/org/hemlockpond/standins/Main.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/Main.kt
@@ -55,5 +55,5 @@
 }
 
 fun main(args: Array<String>) = StandIns()
-    .subcommands(StoreCommand(), EngineCommand(), ServiceCommand(), CallCommand())
+    .subcommands(StoreCommand(), EngineCommand(), ServiceCommand(), CallCommand(), LoadCommand())
     .main(args)
