--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -77,6 +77,7 @@
     var writing: PendingWrite? = null
         private set
     var reading: Duration? = null
+    private var abandonedRead: Duration? = null
     var mustRead = false
     var lastRead: Duration = -Duration.INFINITE
     var lastReport: Duration = -Duration.INFINITE
@@ -180,6 +181,17 @@
         }
     }
 
+    /**
+     * When the read was sent that is answered now. After a read was given up, the next answer may
+     * still be its late one, so that it counts as that old.
+     */
+    fun readAnswered(): Duration {
+        val sent = abandonedRead ?: reading ?: -Duration.INFINITE
+        abandonedRead = null
+        reading = null
+        return sent
+    }
+
     /** Gives up waiting for store answers that are older than [limit]. */
     fun expireCalls(now: Duration, limit: Duration) {
         if (writing?.let { now - it.sent >= limit } == true) {
@@ -187,6 +199,7 @@
             mustRead = true
         }
         if (reading?.let { now - it >= limit } == true) {
+            abandonedRead = abandonedRead ?: reading
             reading = null
             mustRead = true
         }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -103,8 +103,7 @@
 
     private fun recordRead(event: BudgetEvent.RecordRead) {
         val account = accounts[event.customer] ?: return
-        val sent = account.reading ?: time - settings.storeTimeout
-        account.reading = null
+        val sent = account.readAnswered()
         when (account.observe(event.revision, event.record, sent)) {
             Observation.STALE -> account.mustRead = true
 
