--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Lending.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Lending.kt
@@ -126,10 +126,12 @@
     /** Asks the peer that probably holds most for the tokens that waiting requests lack. */
     fun ask(account: Account, now: Duration) {
         val slices = account.record.slices
+        // Near the end tokens come free in small amounts, so a lender that had none is asked sooner.
+        val again = if (placement.ending(account, now)) settings.grantWait else settings.knownFor
         val busy = account.asked.values.any { now - it < settings.loanAnswer }
         if (busy) return
         val lender = peers.keys
-            .filter { now - (account.asked[it] ?: -Duration.INFINITE) >= settings.knownFor }
+            .filter { now - (account.asked[it] ?: -Duration.INFINITE) >= again }
             .maxByOrNull { slices[it]?.free ?: 0 } ?: return
         account.asked[lender] = now
         val tokens = account.shortage + placement.span(account, settings.lowSpan, now)
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -86,7 +86,11 @@
     /** When the slice should be looked at again; null if nothing would change. */
     fun nextReport(account: Account, now: Duration): Duration? {
         val slice = account.confirmed
-        val interval = placement.reportInterval(account)
+        // Idle tokens go back soon near the end, where other holders are short of them.
+        val returnSoon = slice != null && placement.ending(account, now) &&
+            account.held > 2 * placement.target(account, now)
+        val interval =
+            if (returnSoon) settings.knownFor else placement.reportInterval(account)
         return when {
             slice == null -> null
 
