Bound reported periods and keep a write that is under way

A read from a watch cleared the controller's pending write, so it wrote the same record again and one of the two lost by revision; a pending write now ends only by its answer, a newer revision or a read that the controller asked for. A report with a huge period number made the receiver allocate one entry for each period; periods over 1023 are ignored. A controller read back the endpoints of every ended move for ever; it stops 10 min after the deadline once all run the version in force. The store-outage test now also checks that no request reaches the stopped version.

--- a/core/src/main/kotlin/org/hemlockpond/core/moves/Evidence.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/Evidence.kt
@@ -44,6 +44,7 @@
     /** Takes the larger of the present and the reported value of each of [router]'s counters. */
     fun merge(router: RouterId, reports: List<CellReport>) {
         for (report in reports) {
+            if (report.cell.period !in 0..LAST_PERIOD) continue
             val mine = source(router, report.cell, report.new)
             val sum = sums.getOrPut(report.cell) { Cell() }.side(report.new)
             val old = oldSums.getOrPut(report.cell.domain) { Tally() }
@@ -70,4 +71,9 @@
 
     private fun source(router: RouterId, cell: CellKey, new: Boolean): Tally =
         sources.getOrPut(router) { HashMap() }.getOrPut(Source(cell, new)) { Tally() }
+
+    companion object {
+        /** Later periods count as this one; it bounds what a malformed report can allocate. */
+        const val LAST_PERIOD = 1023
+    }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveController.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveController.kt
@@ -16,7 +16,7 @@
     private val settings: MoveSettings,
     private val adopt: (MoveRecord, Long) -> Boolean
 ) {
-    private class Write(val record: MoveRecord, val at: Duration)
+    private class Write(val record: MoveRecord, val expected: Long, val at: Duration)
 
     private class EndpointState {
         /** The version that the endpoint reported to this controller. */
@@ -48,9 +48,10 @@
         until = event.until
     }
 
-    fun onRecordRead(route: RouteId) {
-        writes.remove(route)
-        reads.remove(route)
+    fun onRecordRead(route: RouteId, revision: Long) {
+        // A read that a watch or a peer caused may be older than the write under way.
+        val asked = reads.remove(route) != null
+        if (asked || revision > (writes[route]?.expected ?: 0)) writes.remove(route)
     }
 
     fun onWritten(event: MoveEvent.RecordWritten): List<MoveAction> {
@@ -121,7 +122,7 @@
         ) {
             add(ended(record))
         }
-        writes[record.route] = Write(change, now.elapsed)
+        writes[record.route] = Write(change, move.revision, now.elapsed)
         add(MoveAction.WriteRecord(record.route, move.revision, change))
     }
 
@@ -175,6 +176,7 @@
         now: Now
     ) {
         val record = move.record
+        if (isSettled(record, endpoints, now)) return
         val toMove = if (move.stopped) emptySet() else planned(record, endpoints, now)
         val loading = endpoints
             .filter { states[it.id]?.order is EndpointOrder.Load }
@@ -208,6 +210,13 @@
         return endpointsToMove(record, endpoints, count).mapTo(HashSet()) { it.id }
     }
 
+    /** Whether the move ended long ago and its endpoints run what it left in force. */
+    private fun isSettled(record: MoveRecord, endpoints: List<EndpointConfig>, now: Now): Boolean {
+        val inForce = record.versionInForce ?: return false
+        return now.wall > record.deadline + settings.settleTime &&
+            endpoints.all { runs(record, it) == inForce }
+    }
+
     private fun mayOrder(endpoint: EndpointConfig, state: EndpointState, now: Now): Boolean {
         if (!endpoint.checksFencing && now.elapsed < quietUntil) return false
         val open = state.order != null && now.elapsed - state.orderedAt < settings.orderTimeout
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveFollower.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveFollower.kt
@@ -66,7 +66,7 @@
             is MoveEvent.Outcome -> onOutcome(event, now)
 
             is MoveEvent.RecordRead -> {
-                controller.onRecordRead(event.route)
+                controller.onRecordRead(event.route, event.revision)
                 if (event.record != null && adopt(event.record, event.revision)) {
                     add(notice(event.record, event.revision))
                 }
@@ -160,6 +160,7 @@
         if (record.state != MoveState.RUNNING || now.wall < record.start) return
         if (!new && event.version != record.from) return
         val period = ((now.wall - record.start) / move.period).toInt()
+            .coerceAtMost(Evidence.LAST_PERIOD)
         val moved = endpoints[event.route].orEmpty()
             .count { it.domain == event.domain && runs(record, it) == record.to }
         val load = (event.load / settings.overload * settings.loadLevels).toInt()
--- a/core/src/main/kotlin/org/hemlockpond/core/moves/MoveSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/MoveSettings.kt
@@ -25,6 +25,7 @@
  * @property orderRetry the time before an order is sent again to an endpoint that failed it
  * @property readInterval how often an endpoint that doesn't check fencing numbers is read back,
  *   because a late order of an earlier controller may have changed it
+ * @property settleTime how long after the deadline of an ended move endpoints are still read back
  * @property writeTimeout the time after which an unanswered write is read back
  */
 data class MoveSettings(
@@ -43,5 +44,6 @@
     val orderTimeout: Duration = 120.seconds,
     val orderRetry: Duration = 5.seconds,
     val readInterval: Duration = 30.seconds,
+    val settleTime: Duration = 600.seconds,
     val writeTimeout: Duration = 2.seconds
 )
--- a/core/src/test/kotlin/org/hemlockpond/core/moves/MoveFollowerTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/moves/MoveFollowerTest.kt
@@ -160,9 +160,12 @@
         }
         fleet.run(100.seconds)
         fleet.storeUp = false
-        fleet.run(60.seconds)
+        fleet.run(50.seconds)
         assertEquals(MoveState.RUNNING, fleet.record.state)
         assertTrue(fleet.followers.all { it.isStopped(route) })
+        val before = fleet.newRequests
+        fleet.run(10.seconds)
+        assertEquals(before, fleet.newRequests)
         fleet.storeUp = true
         fleet.run(30.seconds)
         assertRolledBack(fleet, Metric.FAILURES)
