--- a/bench/src/main/kotlin/org/hemlockpond/bench/RoutingBench.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/RoutingBench.kt
@@ -21,6 +21,10 @@
         .default(RoutingSettings().freeLoad)
     private val loadBound by option(help = "load above the mean at which a prefix loses").double()
         .default(RoutingSettings().loadBound)
+    private val longPrefills by option(help = "long prompts a router prefills at an endpoint").int()
+        .default(RoutingSettings().longPrefills)
+    private val prefillWeight by option(help = "load of a prompt token before its first token")
+        .double().default(RoutingSettings().prefillWeight)
     private val skipReaders by option("--skip-readers", help = "leave out slow readers").flag()
     private val skipSlopes by option("--skip-slopes", help = "leave out real-time cost").flag()
 
@@ -41,7 +45,12 @@
     }
 
     private fun row(deployment: RoutingDeployment, kind: PolicyKind): String {
-        val settings = RoutingSettings(freeLoad = freeLoad, loadBound = loadBound)
+        val settings = RoutingSettings(
+            freeLoad = freeLoad,
+            loadBound = loadBound,
+            longPrefills = longPrefills,
+            prefillWeight = prefillWeight
+        )
         val flood = seconds / 3..seconds * 2 / 3
         val floods = (1L..seeds).map {
             RoutingSimulation(deployment, kind, it, null, settings).run(seconds, flood)
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/Dispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/Dispatcher.kt
@@ -50,10 +50,11 @@
             is RoutingEvent.Submit -> submit(event.work, time, out)
 
             is RoutingEvent.FirstToken ->
-                current(event.attempt, event.request, time, out)?.firstToken = true
+                current(event.attempt, event.request, time, out)
+                    ?.let { flights.firstToken(it, time, out) }
 
             is RoutingEvent.Progress -> current(event.attempt, event.request, time, out)?.let {
-                it.firstToken = true
+                flights.firstToken(it, time, out)
                 it.item.answerTokens = maxOf(it.item.answerTokens, event.answerTokens)
             }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/EndpointState.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/EndpointState.kt
@@ -30,6 +30,10 @@
     private var longHeld = 0L
     private var longRunning = 0
 
+    /** Prompt tokens of own requests whose first token hasn't come, and the long ones of these. */
+    private var prefilling = 0L
+    private var longPrefilling = 0
+
     /** Routers that run suspect content there, with the time at which each statement lapses. */
     val isolatedBy = HashMap<RouterId, Duration>(0)
 
@@ -70,7 +74,14 @@
         return (reported - ownAtReport).coerceAtLeast(0)
     }
 
-    fun load(now: Duration): Double = (others(now) + held).toDouble() / capacity
+    /**
+     * Prompts that wait for their first token delay others more than the memory they hold, because
+     * an engine prefills them in order.
+     */
+    fun load(now: Duration): Double {
+        val waiting = settings.prefillWeight * prefilling
+        return (others(now) + held + waiting) / capacity
+    }
 
     fun isLeaving(now: Duration): Boolean =
         config.leaving || (leaving.isNotEmpty() && leaving.values.any { it > now })
@@ -97,6 +108,7 @@
             return held - longHeld + cost <= limit - forLong
         }
         if (!item.long || longRunning == 0) return true
+        if (longPrefilling >= settings.longPrefills) return false
         return longHeld + cost <= forLong && longRunning < slots * settings.longShare
     }
 
@@ -118,12 +130,19 @@
         held += cost
         running++
         lastUse = now
+        if (!isService) prefilling += item.work.promptTokens
         if (item.long) {
+            longPrefilling++
             longHeld += cost
             longRunning++
         }
     }
 
+    fun prefilled(item: Item) {
+        if (!isService) prefilling -= item.work.promptTokens
+        if (item.long) longPrefilling--
+    }
+
     fun end(item: Item) {
         val cost = cost(item.work)
         held -= cost
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/Flights.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/Flights.kt
@@ -26,6 +26,7 @@
 
     fun detach(attempt: Attempt) {
         attempts -= attempt.id
+        attempt.prefilled()
         attempt.endpoint.end(attempt.item)
         attempt.item.attempt = null
         change++
@@ -83,6 +84,15 @@
         out += RoutingAction.Dispatch(work.request, attempt.id, id, resume, work.priority)
     }
 
+    fun firstToken(attempt: Attempt, now: Duration, out: MutableList<RoutingAction>) {
+        if (attempt.firstToken) return
+        attempt.prefilled()
+        // The next long prompt may have waited for this.
+        if (!attempt.item.long) return
+        change++
+        dispatch(attempt.item.work.route, now, out)
+    }
+
     /** Stops the attempt and forgets it, so that what it still sends is dropped. */
     fun abort(attempt: Attempt, out: MutableList<RoutingAction>) {
         out += RoutingAction.CancelAttempt(attempt.id, attempt.endpoint.config.id)
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/Item.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/Item.kt
@@ -44,5 +44,14 @@
     val isolated: Boolean
 ) {
     var firstToken = false
+        private set
+
+    /** The first token came, or the attempt ended without one. */
+    fun prefilled() {
+        if (firstToken) return
+        firstToken = true
+        endpoint.prefilled(item)
+    }
+
     var stalled = false
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/routing/RoutingSettings.kt
@@ -21,6 +21,8 @@
  *   estimates of the prompt that are too low
  * @property longShare the part of a router's share that classes after the first may fill, so that
  *   the first class finds room during a flood of long requests
+ * @property longPrefills long requests of one router that wait for their first token at an endpoint
+ * @property prefillWeight how much more a prompt token counts as load until the first token comes
  * @property loadBound how far above the mean an endpoint's load may be and still be chosen for its
  *   cached prefix
  * @property freeLoad the load below which an endpoint is chosen for its cached prefix in any case
@@ -65,6 +67,8 @@
     val remoteShare: Double = 0.2,
     val memoryReserve: Double = 0.05,
     val longShare: Double = 0.85,
+    val longPrefills: Int = 1,
+    val prefillWeight: Double = 6.0,
     val loadBound: Double = 1.25,
     val freeLoad: Double = 0.25,
     val queueLimit: Int = 2_000,
