--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -44,6 +44,7 @@
 import org.hemlockpond.core.routing.ContractLimits
 import org.hemlockpond.core.routing.Dispatcher
 import org.hemlockpond.core.routing.RoutingEvent
+import org.hemlockpond.core.routing.RoutingSettings
 import org.hemlockpond.core.routing.StreamSettings
 import org.hemlockpond.core.routing.StreamWindow
 import org.hemlockpond.platform.PlatformClient
@@ -87,7 +88,7 @@
             settings.domain,
             LedgerSettings(retryWindow = settings.timing.retryWindow)
         ),
-        dispatcher = Dispatcher(id, settings.domain),
+        dispatcher = Dispatcher(id, settings.domain, routingSettings()),
         moves = MoveFollower(id, settings.domain)
     )
     private val state = FleetState(components.moves, ContractLimits(id), ::control)
@@ -257,6 +258,16 @@
         leaseMargin = settings.timing.leaseMargin
     )
 
+    /** Memory shares must hold for routers that are started but not heard, so settings count. */
+    private fun routingSettings(): RoutingSettings {
+        val others = settings.peers.filter { it.name != settings.router }
+        val inDomain = others.count { it.domain == settings.domain }
+        return RoutingSettings(
+            routersPerDomain = 1 + inDomain,
+            routersElsewhere = (others.size - inDomain).coerceAtLeast(1)
+        )
+    }
+
     private fun streamSettings() = StreamSettings(
         streamBytes = settings.limits.readerWindowBytes.toInt(),
         sharedBytes = settings.limits.totalReaderBytes,
--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/EndpointClient.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/EndpointClient.kt
@@ -151,7 +151,7 @@
         const val ATTEMPT_ID = "X-Attempt-Id"
 
         /** Matches the piece size that the stream window counts with. */
-        const val READ_BYTES = 4 * 1024
+        const val READ_BYTES = 1024
         private const val CONNECT_TIMEOUT_MILLIS = 1_000
     }
 }
--- a/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettings.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettings.kt
@@ -99,7 +99,7 @@
     val sendTimeout: Duration = 30.seconds,
     val connections: Int = 8_192,
     val streamsPerCustomer: Int = 512,
-    val readerWindowBytes: Long = 64L * 1024,
+    val readerWindowBytes: Long = 16L * 1024,
     val totalReaderBytes: Long = 64L * 1024 * 1024
 )
 
@@ -122,7 +122,7 @@
     val retryWindow: Duration = 10.minutes,
     val heartbeat: Duration = 500.milliseconds,
     val drain: Duration = 10.minutes,
-    val stalledReader: Duration = 30.seconds
+    val stalledReader: Duration = 500.milliseconds
 )
 
 enum class LogLevel { ERROR, WARN, INFO, DEBUG, TRACE }
--- a/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
+++ b/settings/src/main/kotlin/org/hemlockpond/settings/RouterSettingsReader.kt
@@ -17,6 +17,9 @@
 private const val MIB = 1024L * KIB
 private const val GIB = 1024L * MIB
 
+/** The stream window needs room for several pieces of 1 KiB. */
+private const val MIN_READER_WINDOW_BYTES = 8 * KIB
+
 /** The project's target for the memory held for one slow reader. */
 private const val MAX_READER_WINDOW_BYTES = 64 * KIB
 
@@ -171,7 +174,7 @@
                 decoder.int(it, 1..1_000_000)
             },
             readerWindowBytes = fields.optional("readerWindowBytes", d.readerWindowBytes) {
-                decoder.size(it, KIB..MAX_READER_WINDOW_BYTES)
+                decoder.size(it, MIN_READER_WINDOW_BYTES..MAX_READER_WINDOW_BYTES)
             },
             totalReaderBytes = fields.optional("totalReaderBytes", d.totalReaderBytes) {
                 decoder.size(it, KIB..16 * GIB)
@@ -209,7 +212,7 @@
             },
             drain = fields.optional("drain", d.drain) { decoder.span(it, 0.seconds..6.hours) },
             stalledReader = fields.optional("stalledReader", d.stalledReader) {
-                decoder.span(it, 1.seconds..1.hours)
+                decoder.span(it, 100.milliseconds..1.hours)
             }
         )
         if (timing.leaseMargin * 2 > timing.routerLease) {
