--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/LedgerAction.kt
@@ -29,7 +29,11 @@
     /** The last piece of the answer may be sent to the caller. */
     data class Release(val request: RequestId, val bill: Bill) : LedgerAction
 
-    /** One store call: nested transactions, one for each write, with one outcome for each. */
+    /**
+     * One store call: nested transactions, one for each write, with one outcome for each. The
+     * ledger never deletes a record, so the router attaches a store lease. While the record exists
+     * the call runs at most once; the lease must outlast [LedgerSettings.retryWindow].
+     */
     data class WriteRunRecords(val number: Long, val writes: List<RunWrite>) : LedgerAction
 
     /** Read the record back; answered by [LedgerEvent.RunRecordRead]. */
--- a/core/src/main/kotlin/org/hemlockpond/core/ledger/RequestLedger.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ledger/RequestLedger.kt
@@ -27,6 +27,14 @@
  * When a router dies, the budget closes its slice with [copiesOf]: the settled spend plus every
  * open reservation in full. A retry takes over the dead router's reservation, the one bill settles
  * to the real use, and the credit goes back to the budget of the router that served the retry.
+ *
+ * In doubt after a failure (design section 2.3.1): after the death of one host, its open requests
+ * are charged at their reservation until a retry within [LedgerSettings.retryWindow] settles them.
+ * After a whole failure domain, or a host together with its copy peer, nobody keeps the bills of
+ * that time: the whole grants are charged and a retry is billed anew. A partitioned failure domain
+ * may run and charge an idempotent request that also ran elsewhere; one charge is credited about
+ * one [LedgerSettings.repeatAfter] after the partition ends, if that is within
+ * [LedgerSettings.openWindow].
  */
 class RequestLedger(
     self: RouterId,
