State the known limit of the comparison during an overload

Cause of the miss, not proved: the prior pools the old version's failures in and after the overload, so each later cell may be explained by chance. The prior by load level is the next thing to try.

Mechanisms removed together in a scratch copy, and the tests that failed: periodic read-back (lateOrderToAnEndpointThatIgnoresFencingIsUndone), split that obeys the local stop (badVersionStopsDuringAStoreOutage), stop by route (badnessOnOneRouteStopsThatRouteOnly), full load of the first endpoint (firstNewEndpointGetsAFullShareOfItsDomain, versionThatIsBadUnderLoad). The change point and the stop notices were removed in the same copy and no test failed for them: the late and the partition tests don't prove these two mechanisms. Other removals weren't completed.

--- a/core/src/main/kotlin/org/hemlockpond/core/moves/SequentialTest.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/moves/SequentialTest.kt
@@ -24,6 +24,9 @@
  * mixture. By Ville's inequality the factor reaches a threshold t with probability at most 1/t,
  * averaged over the prior of the hypothesis. The prior is estimated from the old version, so the
  * bound is approximate; `MoveBench` measures the rate of false rollbacks.
+ *
+ * Known limit: of 8 versions that began to fail 30% of requests during an overload, 2 were rolled
+ * back before the deadline.
  */
 internal class SequentialTest(
     private val metric: Metric,
