--- a/core/src/test/kotlin/org/hemlockpond/core/routing/QueueTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/routing/QueueTest.kt
@@ -28,6 +28,18 @@
         assertTrue(waits.max() < 100.milliseconds, "${waits.max()}")
     }
 
+    /** Guards against several long prompts of one router that an engine prefills before others. */
+    @Test
+    fun longRequestsStartOneByOneAtAnEndpoint() {
+        val bed = bed()
+        repeat(6) { bed.submit("r1", work("long$it", prompt = 5_000)) }
+        assertEquals(listOf(1, 1), bed.boxes.values.map { it.running.size })
+        bed.advance(100.milliseconds)
+        assertEquals(listOf(2, 2), bed.boxes.values.map { it.running.size })
+        bed.advance(100.milliseconds)
+        assertEquals(listOf(3, 3), bed.boxes.values.map { it.running.size })
+    }
+
     /** Guards against a long request that waits for ever because quick ones take all room. */
     @Test
     fun longRequestIsServedDuringAFloodOfQuickOnes() {
