Report credits of routers without a slice, and lease run records

Cause: the one-bill test of a killed router's stream left 214 tokens charged instead of 203, because the credit reached a router that had no slice and a record is written only for a slice. Run records now end with a store lease of 8 days, because the ledger never deletes them. A route whose move no longer concerns it follows its declaration.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -33,7 +33,7 @@
         if (hold == account.held && !due) return unchanged
         account.lastReport = now
         val slice = account.slice(base, hold, placement.wanted(account, now))
-        val worthwhile = account.confirmed != null || slice.granted != 0L
+        val worthwhile = account.confirmed != null || slice.granted != 0L || slice.spent < 0
         return if (worthwhile && materially(base, slice)) {
             RecordChange(record.withSlice(self, slice), false)
         } else {
@@ -92,6 +92,9 @@
         val interval =
             if (returnSoon) settings.knownFor else placement.reportInterval(account)
         return when {
+            // A credit needs a slice, or it would never reach the record.
+            slice == null && account.spent < 0 -> maxOf(account.lastReport + interval, now)
+
             slice == null -> null
 
             slice.used != account.used -> maxOf(account.lastReport + interval, now)
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
@@ -231,4 +231,17 @@
         val actions = written(removal, WriteOutcome.Applied(4))
         assertEquals(listOf<BudgetAction>(BudgetAction.Drained), actions)
     }
+
+    /** Guards against a credit that never reaches the record of a router without a slice. */
+    @Test
+    fun creditWithoutSliceIsReported() {
+        handle(BudgetEvent.LeaseRenewed(now))
+        handle(BudgetEvent.Credit(customer, 11))
+        now += 30.seconds
+        assertTrue(handle(BudgetEvent.Tick).any { it is BudgetAction.ReadRecord })
+        val stored = BudgetRecord(closedSpent = 214).withPayment("p", 1_000)
+        val written = read(5, stored).write().record
+        assertEquals(1_000L - 214 + 11, written.remaining)
+        assertEquals(stored.available, written.available)
+    }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/FleetState.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/FleetState.kt
@@ -54,7 +54,6 @@
     /** The version that serves a request; null if the route has no version. */
     fun versionFor(route: RouteId, request: RequestId, now: Now): VersionId? =
         moves.versionFor(route, request, now)
-            ?: moves.versionInForce(route)
             ?: declared.routes.find { it.id == route }?.version
 
     /** The part of the capacity of the route's endpoints in [domain] that is in use, 0 to 1. */
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -6,6 +6,8 @@
 
 import java.util.concurrent.atomic.AtomicInteger
 import java.util.concurrent.atomic.AtomicLong
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.days
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
@@ -26,16 +28,20 @@
 import org.hemlockpond.core.ledger.LedgerEvent
 import org.hemlockpond.core.ledger.RunRead
 import org.hemlockpond.core.ledger.RunRecord
+import org.hemlockpond.core.ledger.RunWrite
 import org.hemlockpond.core.ledger.RunWriteOutcome
 import org.hemlockpond.core.moves.MoveAction
 import org.hemlockpond.core.moves.MoveEvent
 import org.hemlockpond.core.moves.MoveRecord
 import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.platform.LeaseId
+import org.hemlockpond.platform.LeaseResult
 import org.hemlockpond.platform.PlatformClient
 import org.hemlockpond.platform.ReadResult
 import org.hemlockpond.platform.WriteResult
 import org.hemlockpond.router.Decisions
 import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.log
 
 /**
@@ -55,6 +61,7 @@
     private val self: RouterId,
     private val client: PlatformClient,
     private val scope: CoroutineScope,
+    private val clock: RouterClock,
     private val decisions: Decisions,
     private val post: (() -> Unit) -> Unit,
     private val reachable: (Boolean) -> Unit
@@ -64,6 +71,12 @@
     private var spend = SpendRecord(0, emptyMap())
     private var spendRevision = 0L
 
+    @Volatile
+    private var runLease: LeaseId? = null
+
+    @Volatile
+    private var runLeaseSince = Duration.ZERO
+
     /** Store calls since the start. */
     val calls: Long get() = callCount.get()
 
@@ -94,11 +107,12 @@
     }
 
     fun writeRuns(action: LedgerAction.WriteRunRecords) = scope.launch {
-        val writes = action.writes.map {
-            val value = json.encodeToString(RunRecord.serializer(), it.record)
-            ConditionalWrite(runKey(it.request), it.expectedRevision, value)
+        val lease = runLease()
+        val results = if (lease == null) {
+            action.writes.map { WriteResult.NotSent("no lease for run records") }
+        } else {
+            client.commitEach(action.writes.map { runWrite(it, lease) })
         }
-        val results = client.commitEach(writes)
         seen(results.all { it.answered })
         val outcomes = action.writes.zip(results).associate { (write, result) ->
             write.request to when (result) {
@@ -110,6 +124,22 @@
         post { decisions.ledger(LedgerEvent.RunRecordsWritten(action.number, outcomes)) }
     }
 
+    private fun runWrite(write: RunWrite, lease: LeaseId): ConditionalWrite {
+        val value = json.encodeToString(RunRecord.serializer(), write.record)
+        return ConditionalWrite(runKey(write.request), write.expectedRevision, value, lease)
+    }
+
+    /** Run records end with a lease; without one they would fill the store. */
+    private suspend fun runLease(): LeaseId? {
+        val now = clock.now().elapsed
+        val known = runLease
+        if (known != null && now - runLeaseSince < RUN_LEASE_USE) return known
+        val granted = client.grantLease(RUN_LEASE) as? LeaseResult.Held ?: return known
+        runLease = granted.id
+        runLeaseSince = now
+        return granted.id
+    }
+
     fun readRun(action: LedgerAction.ReadRunRecord) = scope.launch {
         val read = client.read(runKey(action.request))
         seen(read !is ReadResult.Unavailable)
@@ -243,6 +273,12 @@
 
         private val RETRY = 1.seconds
 
+        /** A retry after this time may run the call again; docs/operations.md says so. */
+        private val RUN_LEASE = 8.days
+
+        /** One lease serves the records of a day, so each record lasts 7 days at least. */
+        private val RUN_LEASE_USE = 1.days
+
         fun budgetKey(customer: CustomerId): String = "hemlockpond/budgets/$customer"
 
         fun runKey(request: RequestId): String = "hemlockpond/runs/$request"
