Fill the share before quick requests come in the flood test

With longShare at 1.0 the test had passed, because quick requests that started together with the flood kept their own room. They now come 1 s later. Proof on a scratch copy of this commit: with longShare at 1.0 quickRequestsPassAFloodOfLongOnes fails, quick0 was never dispatched.

--- a/core/src/test/kotlin/org/hemlockpond/core/routing/QueueTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/routing/QueueTest.kt
@@ -20,6 +20,8 @@
     fun quickRequestsPassAFloodOfLongOnes() {
         val bed = bed()
         repeat(100) { bed.submit("r1", work("long$it", prompt = 10_000)) }
+        // The flood fills the share before the first quick request comes.
+        bed.advance(1.seconds)
         repeat(200) {
             bed.submit("r1", work("quick$it"))
             bed.advance(100.milliseconds)
