--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -120,7 +120,8 @@
         exit = exit
     )
     private val peers = PeerNetwork(self, secrets.peerSecret, settings.listen.peers, fleet)
-    private val store = StoreWorker(id, client, scope, clock, decisions, ::control, fleet::storeReachable)
+    private val store =
+        StoreWorker(id, client, scope, clock, decisions, ::control, fleet::storeReachable)
     private val tls = settings.tls?.let { sslContext(it.certificateFile, it.keyFile) }
     private val callers = CallerServer(
         InetSocketAddress(settings.listen.callers.host, settings.listen.callers.port),
