--- a/bench/src/main/kotlin/org/hemlockpond/bench/BudgetBench.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/BudgetBench.kt
@@ -31,7 +31,7 @@
                 " store reads/s | store writes/s | peer bytes/s |"
         )
         echo("|---|---|---|---|---|---|---|---|---|---|---|---|---|")
-        for (base in listOf(authority, ingabo)) {
+        for (base in listOf(budgetAuthority, budgetIngabo)) {
             val deployment = base.copy(minutes = minutes, prepaidPercent = prepaid)
             for (cuts in 0..2) {
                 row(deployment, cuts, "static split") { StaticSplit(deployment) }
@@ -43,7 +43,7 @@
     }
 
     private fun row(
-        deployment: Deployment,
+        deployment: BudgetDeployment,
         cuts: Int,
         name: String,
         policy: (VirtualClock) -> BudgetPolicy
--- a/bench/src/main/kotlin/org/hemlockpond/bench/BudgetPolicy.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/BudgetPolicy.kt
@@ -29,7 +29,7 @@
 }
 
 /** Splits every payment equally among the routers; a partitioned router hears of it later. */
-internal class StaticSplit(private val deployment: Deployment) : BudgetPolicy {
+internal class StaticSplit(private val deployment: BudgetDeployment) : BudgetPolicy {
     override val cost = PolicyCost()
     private val free = Array(deployment.customers) { LongArray(deployment.routers) }
     private val late = Array(deployment.customers) { LongArray(deployment.routers) }
@@ -68,7 +68,7 @@
 }
 
 /** Reads and writes the record for each reservation and each settlement. */
-internal class SwapPerRequest(private val deployment: Deployment) : BudgetPolicy {
+internal class SwapPerRequest(private val deployment: BudgetDeployment) : BudgetPolicy {
     override val cost = PolicyCost()
     private val free = LongArray(deployment.customers)
     private val late = ArrayList<Request>()
--- a/bench/src/main/kotlin/org/hemlockpond/bench/BudgetSlopes.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/BudgetSlopes.kt
@@ -23,7 +23,7 @@
         line("")
         line("| varied | value | store writes/s | store reads/s | processor us/event |")
         line("|---|---|---|---|---|")
-        val base = ingabo.copy(minutes = minutes)
+        val base = budgetIngabo.copy(minutes = minutes)
         for (factor in listOf(1, 2, 4, 8)) {
             val rate = base.requestsPerSecond * factor
             measure("requests/s", rate, base.copy(requestsPerSecond = rate), line)
@@ -46,7 +46,12 @@
         }
     }
 
-    private fun measure(name: String, value: Any, deployment: Deployment, line: (String) -> Unit) {
+    private fun measure(
+        name: String,
+        value: Any,
+        deployment: BudgetDeployment,
+        line: (String) -> Unit
+    ) {
         val load = BudgetWorkload(deployment, seed, cuts = 0)
         val cost = BudgetRun(load).run { EscrowPolicy(deployment, it) }.cost
         val seconds = deployment.millis / 1000.0
--- a/bench/src/main/kotlin/org/hemlockpond/bench/BudgetWorkload.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/BudgetWorkload.kt
@@ -15,7 +15,7 @@
  * @property minutes length of the run
  * @property prepaidPercent share of the demand of the run that is paid at the start
  */
-internal data class Deployment(
+internal data class BudgetDeployment(
     val name: String,
     val domains: Int,
     val routers: Int = 8,
@@ -30,8 +30,8 @@
     fun domainOf(router: Int): Int = router % domains
 }
 
-internal val authority = Deployment("Authority", domains = 3)
-internal val ingabo = Deployment("Ingabo", domains = 4, longShare = 0.02)
+internal val budgetAuthority = BudgetDeployment("Authority", domains = 3)
+internal val budgetIngabo = BudgetDeployment("Ingabo", domains = 4, longShare = 0.02)
 
 /** One request: it reserves [tokens], uses [used] and runs for [millis]. */
 internal class Request(
@@ -46,7 +46,7 @@
 internal class Payment(val at: Long, val customer: Int, val id: String, val tokens: Long)
 
 /** Everything that happens in a run; [cutDomains] are partitioned from [cutFrom] to [cutUntil]. */
-internal class BudgetWorkload(val deployment: Deployment, seed: Long, cuts: Int) {
+internal class BudgetWorkload(val deployment: BudgetDeployment, seed: Long, cuts: Int) {
     private val random = Random(seed)
     val cutDomains: Set<Int> = (0 until deployment.domains).shuffled(random).take(cuts).toSet()
     val cutFrom: Long = deployment.millis / 4
--- a/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
@@ -20,7 +20,7 @@
 import org.hemlockpond.core.budget.WriteOutcome
 
 internal class EscrowPolicy(
-    private val deployment: Deployment,
+    private val deployment: BudgetDeployment,
     private val clock: VirtualClock,
     settings: BudgetSettings = BudgetSettings()
 ) : BudgetPolicy {
--- a/bench/src/main/kotlin/org/hemlockpond/bench/MoveBench.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/MoveBench.kt
@@ -68,7 +68,7 @@
         }
         val pool = Executors.newFixedThreadPool(threads)
         try {
-            for (deployment in listOf(authority, ingabo)) {
+            for (deployment in listOf(moveAuthority, moveIngabo)) {
                 table(deployment) { jobs ->
                     pool.invokeAll(jobs.map { Callable { it() } }).map { it.get() }
                 }
@@ -78,7 +78,10 @@
         }
     }
 
-    private fun table(deployment: Deployment, runAll: (List<() -> RunResult>) -> List<RunResult>) {
+    private fun table(
+        deployment: MoveDeployment,
+        runAll: (List<() -> RunResult>) -> List<RunResult>
+    ) {
         echo("### ${deployment.name}: $runs moves of $minutes min for each row\n")
         echo(
             "| move | policy | done in time or rolled back | share of all requests (mean) " +
--- a/bench/src/main/kotlin/org/hemlockpond/bench/MoveScenario.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/MoveScenario.kt
@@ -15,7 +15,7 @@
  * @property rate requests a second. The design's scale gives 18,000 requests/s for 10,000 runners,
  *   which is 14.4 for eight runners
  */
-internal data class Deployment(
+internal data class MoveDeployment(
     val name: String,
     val domains: Int,
     val runners: Int,
@@ -24,7 +24,7 @@
     val rate: Double = 14.4
 )
 
-internal val authority = Deployment(
+internal val moveAuthority = MoveDeployment(
     name = "Authority",
     domains = 3,
     runners = 8,
@@ -36,7 +36,7 @@
     )
 )
 
-internal val ingabo = Deployment(
+internal val moveIngabo = MoveDeployment(
     name = "Ingabo",
     domains = 4,
     runners = 8,
--- a/bench/src/main/kotlin/org/hemlockpond/bench/MoveSlopes.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/MoveSlopes.kt
@@ -23,7 +23,7 @@
 internal fun moveSlopes(length: Double, seed: Long): String = buildString {
     appendLine("| deployment | message bytes/s sent by one router to one peer | reports/s |")
     appendLine("|---|---|---|")
-    for (deployment in listOf(authority, ingabo)) {
+    for (deployment in listOf(moveAuthority, moveIngabo)) {
         var bytes = 0L
         var messages = 0L
         val world = MoveWorld(deployment, Scenario("good"), length, seed)
--- a/bench/src/main/kotlin/org/hemlockpond/bench/MoveWorld.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/MoveWorld.kt
@@ -54,7 +54,7 @@
 )
 
 internal class MoveWorld(
-    val deployment: Deployment,
+    val deployment: MoveDeployment,
     val scenario: Scenario,
     val length: Double,
     val seed: Long
