--- a/router/src/main/kotlin/org/hemlockpond/router/FleetLink.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/FleetLink.kt
@@ -59,6 +59,8 @@
     LeaseListener {
     private val config = ConfigState()
     private var reachable = true
+    private var announced = emptyList<Member>()
+    private var heartbeats = 0
     private var unregistered = emptySet<RouterId>()
     private lateinit var peers: PeerNetwork
     private lateinit var store: StoreWorker
@@ -104,11 +106,13 @@
         }
     }
 
-    private fun heartbeat() = PeerMessage.Heartbeat(
-        self,
-        membership.members.map { it.member },
-        config.revision
-    )
+    /** The list of members is the larger part of a heartbeat, so only some carry it. */
+    private fun heartbeat(): PeerMessage.Heartbeat {
+        val known = membership.members.map { it.member }
+        val due = known != announced || heartbeats++ % HEARTBEATS_PER_LIST == 0
+        if (due) announced = known
+        return PeerMessage.Heartbeat(self, if (due) known else emptyList(), config.revision)
+    }
 
     private fun membersChanged(members: List<MemberView>) {
         val reachable = members.filter { it.reachable }.map { it.member }
@@ -310,5 +314,6 @@
     private companion object {
         const val HOST_LEAVING = "leaving"
         const val ENTRIES_PER_MESSAGE = 32
+        const val HEARTBEATS_PER_LIST = 20
     }
 }
