--- a/router/src/main/kotlin/org/hemlockpond/router/Control.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Control.kt
@@ -94,14 +94,17 @@
         if (state.config != before) routing(RoutingEvent.ConfigChanged(state.config))
     }
 
+    /** The ledger's batches wait for this tick; the others are rarer, because each one costs. */
+    fun tickLedger() = ledger(LedgerEvent.Tick)
+
     fun tick() {
         budget(BudgetEvent.Tick)
-        ledger(LedgerEvent.Tick)
         routing(RoutingEvent.Tick)
-        moves(MoveEvent.Tick)
         state.limits.tick(clock.now())?.let { outside.broadcast(PeerMessage.Routing(it)) }
     }
 
+    fun tickMoves() = moves(MoveEvent.Tick)
+
     /** [router] never spends again: its copies decide what its slices are charged. */
     fun routerDied(router: RouterId) {
         val copies = components.ledger.copiesOf(router)?.takeIf { it.complete }
--- a/router/src/main/kotlin/org/hemlockpond/router/Main.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Main.kt
@@ -5,6 +5,7 @@
 
 import ch.qos.logback.classic.Level
 import ch.qos.logback.classic.Logger
+import ch.qos.logback.classic.LoggerContext
 import com.github.ajalt.clikt.core.CliktCommand
 import com.github.ajalt.clikt.core.Context
 import com.github.ajalt.clikt.core.ProgramResult
@@ -60,7 +61,10 @@
         (LoggerFactory.getLogger("hemlockpond") as Logger).level =
             Level.toLevel(settings.logLevel.name)
         // A fenced router must stop serving at once; a graceful end would go on spending.
-        val router = Router(settings, secrets) { code -> Runtime.getRuntime().halt(code) }
+        val router = Router(settings, secrets) { code ->
+            flushLogs()
+            Runtime.getRuntime().halt(code)
+        }
         try {
             router.start()
         } catch (e: Exception) {
@@ -70,6 +74,7 @@
         Runtime.getRuntime().addShutdownHook(
             thread(start = false) {
                 router.stop()
+                flushLogs()
                 // The JVM would report the signal as its exit code after a clean stop.
                 Runtime.getRuntime().halt(0)
             }
@@ -78,6 +83,9 @@
     }
 }
 
+/** Logs are written by a thread of their own; what it still holds would be lost by a halt. */
+private fun flushLogs() = (LoggerFactory.getILoggerFactory() as LoggerContext).stop()
+
 private fun <T> CliktCommand.valid(result: SettingsResult<T>): T = when (result) {
     is SettingsResult.Valid -> result.value
 
--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -158,10 +158,12 @@
         callers.start()
         operators.start()
         startGauges()
-        every(CONTROL_TICK) { control { decisions.tick() } }
-        every(settings.timing.heartbeat / 2) { control { fleet.tick() } }
+        every(LEDGER_TICK) { decisions.tickLedger() }
+        every(CONTROL_TICK) { decisions.tick() }
+        every(MOVE_TICK) { decisions.tickMoves() }
+        every(settings.timing.heartbeat / 2) { fleet.tick() }
         every(READER_TICK) { trafficLoop.execute { readers.tick() } }
-        every(LOAD_REPORT) { control { fleet.pollLoad() } }
+        every(LOAD_REPORT) { fleet.pollLoad() }
         accepting = true
         log(
             LogEvent.ROUTER_STARTED,
@@ -222,18 +224,23 @@
 
     private fun control(block: () -> Unit) {
         if (controlThread.isShutdown) return
-        controlThread.execute {
-            try {
-                block()
-            } catch (e: Exception) {
-                log(LogEvent.CONTROL_FAILED, cause = e)
-            }
+        controlThread.execute { guarded(block) }
+    }
+
+    /** A failed event must not end the control thread or its timers. */
+    private fun guarded(block: () -> Unit) {
+        try {
+            block()
+        } catch (e: Exception) {
+            log(LogEvent.CONTROL_FAILED, cause = e)
         }
     }
 
+    /** Runs [block] on the control thread at each [interval]. */
     private fun every(interval: Duration, block: () -> Unit) {
         val millis = interval.inWholeMilliseconds
-        controlThread.scheduleAtFixedRate(block, millis, millis, TimeUnit.MILLISECONDS)
+        val task = { guarded(block) }
+        controlThread.scheduleAtFixedRate(task, millis, millis, TimeUnit.MILLISECONDS)
     }
 
     private fun configChanged(config: FleetConfig) {
@@ -399,7 +406,9 @@
     companion object {
         /** The exit code of a router that another router has fenced. */
         const val FENCED_EXIT = 5
-        private val CONTROL_TICK = 10.milliseconds
+        private val LEDGER_TICK = 10.milliseconds
+        private val CONTROL_TICK = 50.milliseconds
+        private val MOVE_TICK = 250.milliseconds
         private val READER_TICK = 100.milliseconds
         private val LOAD_REPORT = 1.seconds
         private val RETURN_LIMIT = 5.seconds
