--- a/router/src/main/kotlin/org/hemlockpond/router/AnswerRelay.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/AnswerRelay.kt
@@ -60,6 +60,7 @@
     private var recordedChars = 0
     private var recordable = request.resumeFrom == 0L
     private var current: AttemptId? = null
+    private var started: AttemptId? = null
     private var upstream: UpstreamReader? = null
     private var service: RecordedAnswer? = null
     private var closed = false
@@ -81,10 +82,17 @@
         if (request.stream) readers.open(request.request, reader) else reader.setReading(true)
     }
 
+    /** The endpoint has begun to answer; reported once for each attempt. */
+    fun answerStarted(attempt: AttemptId) {
+        if (attempt != current || closed || attempt == started) return
+        started = attempt
+        listener.firstToken(attempt)
+    }
+
     /** A piece of the answer; [index] is its token offset. */
     fun piece(attempt: AttemptId, index: Long, text: String) {
         if (attempt != current || closed || index != delivered) return
-        if (delivered == request.resumeFrom) listener.firstToken(attempt)
+        answerStarted(attempt)
         delivered++
         record(text)
         if (request.stream) {
--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
@@ -73,6 +73,7 @@
         if (message is HttpResponse) {
             status = message.status().code()
             contentType = message.headers()[HttpHeaderNames.CONTENT_TYPE].orEmpty()
+            if (request.upstream is UpstreamCall.Service) relay.answerStarted(attempt)
         }
         if (message is HttpContent) {
             val bytes = ByteArray(message.content().readableBytes())
