--- a/cli/src/main/kotlin/org/hemlockpond/cli/Applier.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Applier.kt
@@ -6,7 +6,8 @@
 
 import org.hemlockpond.core.Contract
 import org.hemlockpond.core.CustomerId
-import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.settings.ConfigKeys
 import org.hemlockpond.settings.Declarations
 
@@ -58,7 +59,7 @@
 
                 is PaymentResult.Contradicted -> {
                     exit = ExitCode.CONFLICT
-                    conflicts += budgetKey(contract.customer)
+                    conflicts += BudgetRecord.key(contract.customer)
                     lines += contradiction(contract.customer, result)
                 }
 
--- a/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
@@ -99,7 +99,7 @@
         is PaymentResult.Contradicted -> Outcome(
             ExitCode.CONFLICT,
             listOf(contradiction(CustomerId(customer), result)),
-            jsonOf("conflicts" to listOf(budgetKey(CustomerId(customer))))
+            jsonOf("conflicts" to listOf(BudgetRecord.key(CustomerId(customer))))
         )
 
         is PaymentResult.Failed -> Outcome(result.exit, listOf(result.reason))
@@ -107,7 +107,7 @@
 }
 
 internal fun contradiction(customer: CustomerId, result: PaymentResult.Contradicted): String =
-    "conflict on ${budgetKey(customer)}: payment ${result.id} is there with ${result.stored} tokens"
+    "conflict on ${BudgetRecord.key(customer)}: payment ${result.id} is there with ${result.stored} tokens"
 
 private operator fun JsonObject.plus(other: JsonObject) =
     JsonObject(this as Map<String, kotlinx.serialization.json.JsonElement> + other)
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Budgets.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Budgets.kt
@@ -9,7 +9,7 @@
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.budget.BudgetRecord
-import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.store.ConditionalWrite
 
 /** Token counts stay below 2^53, which every JSON reader keeps exactly. */
 private const val MAX_PAID = (1L shl 53) - 1
@@ -18,8 +18,6 @@
 private const val PAYMENT_ATTEMPTS = 30
 private val paymentPause = 20.milliseconds
 
-internal fun budgetKey(customer: CustomerId) = "hemlockpond/budgets/$customer"
-
 /** Strict, because a record that is written back without unknown fields would lose them. */
 private val recordJson = Json { encodeDefaults = true }
 
@@ -35,11 +33,11 @@
 
 internal class Budgets(private val store: Store, private val environment: Environment) {
     fun read(customer: CustomerId): BudgetRecord? =
-        store.get(budgetKey(customer))?.let { decode(budgetKey(customer), it.value) }
+        store.get(BudgetRecord.key(customer))?.let { decode(BudgetRecord.key(customer), it.value) }
 
     /** Adds [payments] that the record doesn't have yet. */
     fun pay(customer: CustomerId, payments: Map<String, Long>): PaymentResult {
-        val key = budgetKey(customer)
+        val key = BudgetRecord.key(customer)
         // Payments found after a write without an answer may be this command's own.
         var added = 0L
         repeat(PAYMENT_ATTEMPTS) { attempt ->
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Diff.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Diff.kt
@@ -10,8 +10,8 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.contentOrNull
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.StoredValue
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.StoredValue
 
 internal enum class EntryChange(val sign: Char) { ADDED('+'), CHANGED('~'), REMOVED('-') }
 
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
@@ -18,8 +18,8 @@
 import org.hemlockpond.core.moves.RollbackCause
 import org.hemlockpond.core.moves.rollBack
 import org.hemlockpond.core.moves.startMove
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.StoredValue
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.StoredValue
 import org.hemlockpond.settings.ConfigKeys
 
 /** The prefix of all move records. */
--- a/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
@@ -12,7 +12,7 @@
 import java.net.URI
 import java.nio.file.Files
 import java.nio.file.Path
-import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.settings.ConfigKeys
 import org.hemlockpond.settings.SocketAddress
 
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Store.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Store.kt
@@ -6,11 +6,11 @@
 
 import java.net.InetSocketAddress
 import kotlinx.coroutines.runBlocking
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.StoredValue
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
 
 /** The store's calls; each is one attempt. */
 internal interface Store : AutoCloseable {
@@ -25,7 +25,7 @@
 }
 
 internal class PlatformStore(addresses: List<InetSocketAddress>) : Store {
-    private val client = PlatformClient(addresses)
+    private val client = EtcdStore(addresses)
 
     override val attempts = addresses.size + 1
 
--- a/cli/src/test/kotlin/org/hemlockpond/cli/ApplyTest.kt
+++ b/cli/src/test/kotlin/org/hemlockpond/cli/ApplyTest.kt
@@ -9,7 +9,7 @@
 import kotlinx.serialization.json.jsonPrimitive
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.budget.BudgetRecord
-import org.hemlockpond.platform.ConditionalWrite
+import org.hemlockpond.store.ConditionalWrite
 
 class ApplyTest {
     private val environment = FakeEnvironment()
--- a/cli/src/test/kotlin/org/hemlockpond/cli/Fakes.kt
+++ b/cli/src/test/kotlin/org/hemlockpond/cli/Fakes.kt
@@ -8,10 +8,10 @@
 import kotlinx.serialization.json.Json
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.jsonObject
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.StoredValue
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
 
 internal enum class Fault { NONE, NOT_SENT, LOST_REQUEST, LOST_ANSWER }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetRecord.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetRecord.kt
@@ -6,6 +6,7 @@
 package org.hemlockpond.core.budget
 
 import kotlinx.serialization.Serializable
+import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.RouterId
 
@@ -121,4 +122,12 @@
             slices = slices - router
         )
     }
+
+    companion object {
+        /** Budget records are stored under this prefix and the customer's id. */
+        const val PREFIX = "hemlockpond/budgets/"
+
+        /** The store key of the record of [customer]. */
+        fun key(customer: CustomerId): String = PREFIX + customer.value
+    }
 }
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -0,0 +1,147 @@
+/*
+ * What this host knows of one endpoint: its own requests there, how slow the last answers were, and
+ * which prompt parts it probably has cached.
+ *
+ * Other hosts send to the same endpoint unseen. Their load shows in the slowness of this host's own
+ * answers, which is compared with what the own requests alone explain.
+ */
+package org.hemlockpond.core.entry
+
+import kotlin.math.exp
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.routing.EndpointHealth
+
+internal class EndpointLoad(
+    var listed: ListedEndpoint,
+    private val profile: EngineProfile?,
+    private val settings: EntrySettings,
+    onProbation: Boolean
+) {
+    private class Sent(val at: Duration, val predicted: Duration, val uncached: Long)
+
+    val health = EndpointHealth(settings.health, onProbation)
+    private val unanswered = LinkedHashMap<RequestId, Sent>()
+    private val parts = LinkedHashMap<String, Duration>(16, LOAD_FACTOR, true)
+    private var pendingTokens = 0L
+    private var slowness = 1.0
+    private var slownessAt = Duration.ZERO
+    private var lastHeard = -Duration.INFINITE
+    private var fullUntil = -Duration.INFINITE
+
+    /** Requests of this host that run or wait there. */
+    var running = 0
+        private set
+
+    val isEngine: Boolean get() = profile != null
+
+    /** Own requests that may be there at once. */
+    private val room: Int
+        get() = if (profile != null) profile.batch else listed.slots.coerceAtLeast(1)
+
+    fun hasRoom(now: Duration): Boolean =
+        running < room && now >= fullUntil && health.mayTake(running, now) && !isSilent(now)
+
+    /** The endpoint refused a request because it is full. */
+    fun full(now: Duration) {
+        fullUntil = now + settings.fullPause
+    }
+
+    /** Whether no answer to the request has begun. */
+    fun owes(request: RequestId): Boolean = request in unanswered
+
+    /** Owes answers and has sent nothing for long. */
+    fun isSilent(now: Duration): Boolean {
+        val oldest = unanswered.values.firstOrNull() ?: return false
+        val limit = settings.silence + oldest.predicted
+        return now - oldest.at > limit && now - lastHeard > limit
+    }
+
+    /** The time from now to the first event, or to the answer of a plain service. */
+    fun predict(prompt: Prompt?, now: Duration, likelyCached: Boolean): Duration {
+        val own = if (profile == null) {
+            settings.serviceTime * (1 + running / room.toDouble())
+        } else {
+            val tokens = pendingTokens + uncached(prompt, now, likelyCached)
+            settings.firstEventBase + (tokens / settings.prefillTokensPerMilli).milliseconds
+        }
+        return own * slownessNow(now)
+    }
+
+    /** Prompt tokens that the engine has to read. */
+    fun uncached(prompt: Prompt?, now: Duration, likelyCached: Boolean): Long {
+        if (prompt == null) return 0
+        var cached = 0L
+        for (part in prompt.parts) {
+            val used = parts[part.id]
+            if (used == null || now - used > settings.cacheMemory) {
+                // Another host has probably sent the shared part here as well.
+                if (likelyCached && part !== prompt.parts.last()) cached += part.tokens / 2
+                break
+            }
+            cached += part.tokens
+        }
+        return (prompt.tokens - cached).coerceAtLeast(0)
+    }
+
+    fun knows(part: PromptPart, now: Duration): Boolean =
+        parts[part.id]?.let { now - it <= settings.cacheMemory } ?: false
+
+    fun start(request: EntryRequest, predicted: Duration, now: Duration) {
+        running++
+        val tokens = uncached(request.prompt, now, likelyCached = false)
+        pendingTokens += tokens
+        unanswered[request.id] = Sent(now, predicted, tokens)
+        for (part in request.prompt?.parts.orEmpty()) parts[part.id] = now
+        while (parts.size > MAX_PARTS) parts.remove(parts.keys.first())
+    }
+
+    /** Any bytes came from the endpoint. */
+    fun heard(now: Duration) {
+        lastHeard = now
+    }
+
+    /** The first event, or the answer of a plain service, came. */
+    fun answered(request: RequestId, now: Duration) {
+        lastHeard = now
+        val sent = forget(request) ?: return
+        val ratio = (now - sent.at) / sent.predicted.coerceAtLeast(MIN_PREDICTED)
+        slowness = (slownessNow(now) * (1 - SLOWNESS_WEIGHT) + ratio * SLOWNESS_WEIGHT)
+            .coerceIn(MIN_SLOWNESS, MAX_SLOWNESS)
+        slownessAt = now
+    }
+
+    /** The request is no longer there. */
+    fun end(request: RequestId) {
+        forget(request)
+        running--
+    }
+
+    private fun forget(request: RequestId): Sent? {
+        val sent = unanswered.remove(request) ?: return null
+        pendingTokens -= sent.uncached
+        return sent
+    }
+
+    private fun slownessNow(now: Duration): Double {
+        val age = (now - slownessAt) / settings.slownessMemory
+        return 1 + (slowness - 1) * exp(-age)
+    }
+
+
+    private companion object {
+        const val LOAD_FACTOR = 0.75f
+
+        /** Parts that are remembered for each endpoint; the least recently used go first. */
+        const val MAX_PARTS = 512
+
+        /** The weight of one answer; a few answers in a row show a slow endpoint. */
+        const val SLOWNESS_WEIGHT = 0.3
+        const val MIN_SLOWNESS = 0.25
+        const val MAX_SLOWNESS = 10.0
+
+        /** Keeps the ratio finite. */
+        val MIN_PREDICTED = 1.milliseconds
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -50,7 +50,18 @@
     CONTROLLER(1603, Level.INFO, "this router controls version moves"),
 
     REQUEST_MALFORMED(1701, Level.DEBUG, "malformed request"),
-    OPERATOR_DENIED(1702, Level.WARN, "operator call without a valid token")
+    OPERATOR_DENIED(1702, Level.WARN, "operator call without a valid token"),
+
+    ENTRY_STARTED(1801, Level.INFO, "entry router started"),
+    ENTRY_REQUEST(1802, Level.INFO, "request ended"),
+    ENTRY_REFUSED(1803, Level.INFO, "request refused before it was accepted"),
+    ENTRY_ATTEMPT_FAILED(1804, Level.INFO, "attempt failed"),
+    ENDPOINT_CHANGED(1805, Level.INFO, "endpoint list changed"),
+    ENDPOINT_ENTRY_INVALID(1806, Level.WARN, "an endpoint entry can't be read; it names no endpoint"),
+    PAYMENT_ENTERED(1807, Level.INFO, "a payment was entered in a budget"),
+    CRASH_RECORDED(1808, Level.WARN, "content under which an endpoint crashed was recorded"),
+    SETTINGS_RELOADED(1809, Level.INFO, "settings file read again"),
+    SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -47,7 +47,7 @@
 import org.hemlockpond.core.routing.RoutingSettings
 import org.hemlockpond.core.routing.StreamSettings
 import org.hemlockpond.core.routing.StreamWindow
-import org.hemlockpond.platform.PlatformClient
+import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.router.caller.CallerServer
 import org.hemlockpond.router.caller.CallerService
 import org.hemlockpond.router.caller.HttpAnswerWriter
@@ -76,7 +76,7 @@
     private val trafficGroup = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
     private val trafficLoop = trafficGroup.next()
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.IO)
-    private val client = PlatformClient(
+    private val client = EtcdStore(
         settings.platform.stores.map { InetSocketAddress(it.host, it.port) },
         settings.platform.timeout
     )
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -0,0 +1,275 @@
+/*
+ * One caller's connection: collects requests, hands them on one at a time and writes their answers.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.CompositeByteBuf
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.TooLongFrameException
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import java.util.Locale
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.DurationUnit
+import org.hemlockpond.core.ErrorKind
+
+/** What a caller's connection hands its requests to; all calls are on the event loop. */
+internal interface CallerListener {
+    /** Whether connections are to end after their present request. */
+    val closing: Boolean
+    val maxBodyBytes: Int
+
+    /** How long a connection may stay without a request. */
+    val idleTimeout: Duration
+
+    /** The time from the first byte of a request to the end of its headers. */
+    val headerTimeout: Duration
+
+    /**
+     * A whole request was read.
+     *
+     * @param arrival when its head was read
+     */
+    fun received(connection: CallerConnection, request: HttpRequest, body: ByteBuf, arrival: Duration)
+
+    /** The caller closed the connection; the request under way, if any, is given up. */
+    fun gone(connection: CallerConnection)
+
+    /** The caller reads again after [CallerConnection.isWritable] was false, or the reverse. */
+    fun writabilityChanged(connection: CallerConnection)
+
+    /** A request was refused before it was whole. */
+    fun malformed(kind: ErrorKind, detail: String?)
+
+    fun now(): Duration
+}
+
+internal class CallerConnection(
+    private val listener: CallerListener,
+    private val headers: HeaderClock
+) : ChannelInboundHandlerAdapter() {
+    private class Incoming(val request: HttpRequest, val body: CompositeByteBuf, val at: Duration)
+
+    lateinit var channel: Channel
+        private set
+    private var incoming: Incoming? = null
+    private val pipelined = ArrayDeque<Incoming>()
+    private var keepAlive = true
+    private var busy = false
+    private var closing = false
+    private var lastUse = Duration.ZERO
+
+
+    /** The exchange that uses the connection; set by the listener. */
+    var exchange: EntryExchange? = null
+
+    val isWritable: Boolean get() = channel.isWritable
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        channel = context.channel()
+        lastUse = listener.now()
+    }
+
+    override fun channelActive(context: ChannelHandlerContext) {
+        watchIdle()
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (closing || message !is HttpObject) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        val failure = message.decoderResult().cause()
+        if (failure != null) {
+            ReferenceCountUtil.release(message)
+            refuseMalformed(failure)
+            return
+        }
+        if (message is HttpRequest) begin(message)
+        if (message is HttpContent) add(message)
+    }
+
+    private fun refuseMalformed(failure: Throwable) {
+        val kind = when (failure) {
+            is TooLongFrameException -> ErrorKind.REQUEST_TOO_LARGE
+            else -> ErrorKind.MALFORMED_REQUEST
+        }
+        refuseAndClose(kind, failure.message)
+    }
+
+    private fun begin(request: HttpRequest) {
+        val length = HttpUtil.getContentLength(request, 0L)
+        if (length > listener.maxBodyBytes) {
+            refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, "body of $length bytes")
+            return
+        }
+        if (HttpUtil.is100ContinueExpected(request)) {
+            val go = DefaultFullHttpResponse(
+                HttpVersion.HTTP_1_1,
+                HttpResponseStatus.CONTINUE,
+                Unpooled.EMPTY_BUFFER
+            )
+            channel.writeAndFlush(go)
+        }
+        incoming = Incoming(request, channel.alloc().compositeBuffer(MAX_PARTS), listener.now())
+    }
+
+    private fun add(content: HttpContent) {
+        val current = incoming
+        if (current == null) {
+            content.release()
+            return
+        }
+        if (current.body.readableBytes() + content.content().readableBytes() >
+            listener.maxBodyBytes
+        ) {
+            content.release()
+            refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, "body over ${listener.maxBodyBytes} bytes")
+            return
+        }
+        current.body.addComponent(true, content.content())
+        if (content !is LastHttpContent) return
+        incoming = null
+        if (busy) pipelined.addLast(current) else start(current)
+        // Callers that send ahead wait for their answers before more is read.
+        if (pipelined.size >= MAX_PIPELINED) channel.config().isAutoRead = false
+    }
+
+    private fun start(next: Incoming) {
+        busy = true
+        keepAlive = HttpUtil.isKeepAlive(next.request)
+        listener.received(this, next.request, next.body, next.at)
+    }
+
+    /** Whether the connection ends after the answer under way. */
+    val endsAfterAnswer: Boolean get() = !keepAlive || listener.closing
+
+    /** Writes an answer of the router's own. */
+    fun refuse(kind: ErrorKind, retryAfter: Duration?, close: Boolean = false) {
+        val text = Unpooled.copiedBuffer("${kind.code}: ${kind.message}\n", Charsets.UTF_8)
+        val status = HttpResponseStatus.valueOf(kind.status)
+        val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, text)
+        response.headers()
+            .set(HttpHeaderNames.CONTENT_TYPE, "text/plain")
+            .set(HttpHeaderNames.CONTENT_LENGTH, text.readableBytes())
+        if (retryAfter != null) {
+            val seconds = retryAfter.toDouble(DurationUnit.SECONDS)
+            response.headers()
+                .set(HttpHeaderNames.RETRY_AFTER, "%.2f".format(Locale.ROOT, seconds))
+        }
+        val last = close || endsAfterAnswer
+        if (last) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+        val written = channel.writeAndFlush(response)
+        if (last) written.addListener(ChannelFutureListener.CLOSE)
+        if (last) closing = true else answered()
+    }
+
+    private fun refuseAndClose(kind: ErrorKind, detail: String?) {
+        listener.malformed(kind, detail)
+        incoming?.body?.release()
+        incoming = null
+        // A request that is still being answered keeps the connection in order.
+        if (busy) close() else refuse(kind, retryAfter = null, close = true)
+    }
+
+    /** The answer under way was written. */
+    fun answered() {
+        exchange = null
+        busy = false
+        lastUse = listener.now()
+        if (closing || !channel.isActive) return
+        if (endsAfterAnswer) {
+            close()
+            return
+        }
+        val next = pipelined.removeFirstOrNull() ?: return
+        channel.config().isAutoRead = true
+        start(next)
+    }
+
+    /** Closes the connection once everything written has left. */
+    fun close() {
+        closing = true
+        channel.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE)
+    }
+
+    /** Breaks the connection off, so that the answer under way doesn't look complete. */
+    fun abort() {
+        closing = true
+        channel.close()
+    }
+
+    /** Closes the connection if no request is under way. */
+    fun closeIfIdle() {
+        if (!busy && incoming == null) close()
+    }
+
+    private fun watchIdle() {
+        val shortest = minOf(listener.idleTimeout / 2, listener.headerTimeout)
+        val wait = shortest.inWholeMilliseconds / IDLE_CHECKS
+        channel.eventLoop().schedule({ checkIdle() }, wait, TimeUnit.MILLISECONDS)
+    }
+
+    private fun checkIdle() {
+        if (!channel.isActive) return
+        val now = listener.now()
+        val since = incoming?.at
+        when {
+            busy -> lastUse = now
+
+            headers.since?.let { now - it > listener.headerTimeout } == true ->
+                refuseAndClose(ErrorKind.REQUEST_TIMEOUT, "the headers didn't arrive in time")
+
+            since != null && now - since > listener.idleTimeout ->
+                refuseAndClose(ErrorKind.REQUEST_TIMEOUT, "the body didn't arrive in time")
+
+            since == null && now - lastUse > listener.idleTimeout -> close()
+        }
+        watchIdle()
+    }
+
+    override fun channelWritabilityChanged(context: ChannelHandlerContext) {
+        listener.writabilityChanged(this)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        closing = true
+        incoming?.body?.release()
+        incoming = null
+        pipelined.forEach { it.body.release() }
+        pipelined.clear()
+        listener.gone(this)
+    }
+
+    @Deprecated("Netty's own deprecation of the handler method")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        // A caller that resets its connection is gone; channelInactive follows.
+        context.close()
+    }
+
+    private companion object {
+        /** Requests that are read ahead on one connection. */
+        const val MAX_PIPELINED = 4
+
+        /** Parts of a body that are kept apart before they are merged. */
+        const val MAX_PARTS = 64
+
+        /** Checks within the shortest timeout. */
+        const val IDLE_CHECKS = 2
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -0,0 +1,176 @@
+/*
+ * One connection to an endpoint. It carries one request at a time. Answers that belong to another
+ * request are skipped, and a connection on which anything unexpected came is not used again.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.http.FullHttpRequest
+import io.netty.handler.codec.http.HttpContent
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.LastHttpContent
+import io.netty.util.ReferenceCountUtil
+import kotlin.time.Duration
+import org.hemlockpond.core.RequestId
+
+/** Receives what an endpoint sends for one request. Nothing follows [ended] or [broken]. */
+internal interface AnswerSink {
+    fun head(response: HttpResponse, answer: AnswerHead)
+
+    /** The sink releases [bytes]. */
+    fun content(bytes: ByteBuf)
+
+    fun ended()
+
+    /**
+     * The answer is not whole.
+     *
+     * @param crash whether the endpoint closed the connection without a byte of the answer
+     */
+    fun broken(cause: String, crash: Boolean)
+}
+
+internal class EndpointConnection(
+    private val dialect: EntryDialect,
+    private val owner: Owner
+) : ChannelInboundHandlerAdapter() {
+    interface Owner {
+        /** The connection may carry another request, for at most [idleLimit] if that is known. */
+        fun idle(connection: EndpointConnection, idleLimit: Duration?)
+
+        fun closed(connection: EndpointConnection)
+    }
+
+    private class Exchange(val id: RequestId, val sink: AnswerSink) {
+        var answering = false
+        var lengthKnown = false
+    }
+
+    lateinit var channel: Channel
+        private set
+    private var exchange: Exchange? = null
+    private var skipping = false
+    private var reusable = true
+    private var written = false
+    private var idleLimit: Duration? = null
+
+    override fun handlerAdded(context: ChannelHandlerContext) {
+        channel = context.channel()
+    }
+
+    fun send(id: RequestId, request: FullHttpRequest, sink: AnswerSink) {
+        exchange = Exchange(id, sink)
+        written = false
+        reusable = true
+        channel.writeAndFlush(request).addListener {
+            written = it.isSuccess
+            // An answer can end before a long request is written.
+            if (it.isSuccess && exchange == null && reusable) owner.idle(this, idleLimit)
+        }
+    }
+
+    /** Gives up the request under way; the endpoint stops work when its connection closes. */
+    fun cancel() {
+        exchange = null
+        reusable = false
+        channel.close()
+    }
+
+    fun pause(paused: Boolean) {
+        channel.config().isAutoRead = !paused
+    }
+
+    override fun channelRead(context: ChannelHandlerContext, message: Any) {
+        if (message !is HttpObject) {
+            ReferenceCountUtil.release(message)
+            return
+        }
+        val current = exchange
+        when {
+            message.decoderResult().isFailure -> {
+                ReferenceCountUtil.release(message)
+                fail("unreadable answer", crash = false)
+            }
+
+            current == null -> {
+                // Nothing is owed here.
+                ReferenceCountUtil.release(message)
+                reusable = false
+                channel.close()
+            }
+
+            else -> {
+                if (message is HttpResponse) headRead(current, message)
+                if (message is HttpContent) contentRead(current, message)
+            }
+        }
+    }
+
+    private fun headRead(current: Exchange, response: HttpResponse) {
+        val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        val answer = dialect.answer(response)
+        val foreign = answer.id != null && answer.id != current.id
+        skipping = interim || foreign
+        if (interim) return
+        if (foreign) {
+            reusable = false
+            return
+        }
+        if (!HttpUtil.isKeepAlive(response)) reusable = false
+        idleLimit = answer.idleLimit
+        current.answering = true
+        val headers = response.headers()
+        current.lengthKnown = HttpUtil.isTransferEncodingChunked(response) ||
+            headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        if (!current.lengthKnown) reusable = false
+        current.sink.head(response, answer)
+    }
+
+    private fun contentRead(current: Exchange, content: HttpContent) {
+        val last = content is LastHttpContent
+        if (skipping) {
+            content.release()
+            if (last) skipping = false
+            return
+        }
+        if (content.content().isReadable) {
+            current.sink.content(content.content())
+        } else {
+            content.release()
+        }
+        if (!last || exchange !== current) return
+        exchange = null
+        current.sink.ended()
+        when {
+            !reusable -> channel.close()
+            written -> owner.idle(this, idleLimit)
+        }
+    }
+
+    private fun fail(cause: String, crash: Boolean) {
+        reusable = false
+        val current = exchange
+        exchange = null
+        channel.close()
+        current?.sink?.broken(cause, crash)
+    }
+
+    override fun channelInactive(context: ChannelHandlerContext) {
+        val answering = exchange?.answering ?: false
+        owner.closed(this)
+        fail("connection closed", crash = !answering)
+    }
+
+    @Deprecated("Netty's own deprecation of the handler method")
+    override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+        val answering = exchange?.answering ?: false
+        fail(cause.message ?: cause.javaClass.simpleName, crash = !answering)
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointPool.kt
@@ -0,0 +1,130 @@
+/*
+ * The connections to endpoints. Idle ones are kept, because an endpoint may spend a slot on a new
+ * connection; the one used last goes first, so that the others can expire.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoop
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpClientCodec
+import java.net.InetSocketAddress
+import kotlin.time.Duration
+import org.hemlockpond.router.RouterClock
+
+internal class EndpointPool(
+    private val loop: EventLoop,
+    private val dialect: EntryDialect,
+    private val clock: RouterClock,
+    private val settings: EntryRouterSettings
+) {
+    private class Idle(
+        val connection: EndpointConnection,
+        val since: Duration,
+        val until: Duration
+    )
+
+    private val idle = HashMap<InetSocketAddress, ArrayDeque<Idle>>()
+
+    /** Connections opened since the start. */
+    var opened = 0L
+        private set
+
+    /**
+     * Gets a connection to [address]: a kept one that was used within [freshness], or a new one.
+     * [done] gets null if the endpoint can't be reached.
+     */
+    fun connect(
+        address: InetSocketAddress,
+        freshness: Duration,
+        done: (EndpointConnection?, String?) -> Unit
+    ) {
+        val now = clock.now().elapsed
+        val kept = idle[address]
+        while (kept != null && kept.isNotEmpty()) {
+            val last = kept.last()
+            // The others have been idle for longer.
+            if (last.connection.channel.isActive && now - last.since > freshness) break
+            kept.removeLast()
+            if (last.connection.channel.isActive && now < last.until) {
+                done(last.connection, null)
+                return
+            }
+            last.connection.channel.close()
+        }
+        open(address, done)
+    }
+
+    private fun open(address: InetSocketAddress, done: (EndpointConnection?, String?) -> Unit) {
+        opened++
+        val connection = EndpointConnection(dialect, Owner(address))
+        Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel::class.java)
+            .option(
+                ChannelOption.CONNECT_TIMEOUT_MILLIS,
+                settings.connectTimeout.inWholeMilliseconds.toInt()
+            )
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(
+                ChannelOption.WRITE_BUFFER_WATER_MARK,
+                WriteBufferWaterMark(WRITE_BYTES / 2, WRITE_BYTES)
+            )
+            .handler(
+                object : ChannelInitializer<SocketChannel>() {
+                    override fun initChannel(channel: SocketChannel) {
+                        channel.pipeline().addLast(HttpClientCodec(), connection)
+                    }
+                }
+            )
+            .connect(address)
+            .addListener {
+                if (it.isSuccess) {
+                    done(connection, null)
+                } else {
+                    done(null, it.cause().message ?: it.cause().javaClass.simpleName)
+                }
+            }
+    }
+
+    /** Closes the connections that have been idle for too long. */
+    fun tick() {
+        val now = clock.now().elapsed
+        for (list in idle.values) {
+            while (list.isNotEmpty() && list.first().until <= now) {
+                list.removeFirst().connection.channel.close()
+            }
+        }
+    }
+
+    /** Closes the idle connections to an endpoint that is gone. */
+    fun forget(address: InetSocketAddress) {
+        idle.remove(address)?.forEach { it.connection.channel.close() }
+    }
+
+    private inner class Owner(private val address: InetSocketAddress) : EndpointConnection.Owner {
+        override fun idle(connection: EndpointConnection, idleLimit: Duration?) {
+            val limit = idleLimit?.let { it - settings.idleMargin } ?: settings.idleConnection
+            val now = clock.now().elapsed
+            if (limit <= Duration.ZERO || !connection.channel.isActive) {
+                connection.channel.close()
+                return
+            }
+            val list = this@EndpointPool.idle.getOrPut(address) { ArrayDeque() }
+            list.addLast(Idle(connection, now, now + limit))
+        }
+
+        override fun closed(connection: EndpointConnection) {
+            this@EndpointPool.idle[address]?.removeIf { it.connection === connection }
+        }
+    }
+
+    private companion object {
+        /** A request is written whole; this only bounds what waits for a slow endpoint. */
+        const val WRITE_BYTES = 64 * 1024
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -0,0 +1,246 @@
+/*
+ * Connects the budget component to the store. Writes of one moment go in one transaction, and a
+ * record that was just seen isn't read again: a write on an old revision fails without harm and
+ * brings the current one.
+ */
+package org.hemlockpond.router.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.budget.BudgetAction
+import org.hemlockpond.core.budget.BudgetEvent
+import org.hemlockpond.core.budget.BudgetHolder
+import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.core.budget.BudgetSettings
+import org.hemlockpond.core.budget.WriteOutcome
+import org.hemlockpond.core.entry.EntryConfig
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.log
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.KeyValueStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
+
+/** What the budgets decide; all calls are on the event loop. */
+internal interface BudgetListener {
+    fun reserved(request: RequestId)
+
+    fun refused(request: RequestId, kind: ErrorKind)
+
+    /** Another run of this host's router has taken over. */
+    fun fenced()
+
+    /** Every unspent token is back in the store. */
+    fun drained()
+}
+
+/** @param self this run of the router; its name begins with that of the host and a slash */
+internal class EntryBudgets(
+    private val self: RouterId,
+    domain: FailureDomain,
+    settings: BudgetSettings,
+    private val store: KeyValueStore,
+    private val scope: CoroutineScope,
+    private val clock: RouterClock,
+    private val listener: BudgetListener
+) {
+    private class Known(val revision: Long, val record: BudgetRecord, val at: Duration)
+
+    private val holder = BudgetHolder(self, domain, settings)
+    private val known = HashMap<CustomerId, Known>()
+    private val writes = ArrayList<BudgetAction.WriteRecord>()
+    private var flushing = false
+    private var prepaid: Map<CustomerId, Long> = emptyMap()
+    private val reportedDead = HashSet<RouterId>()
+
+    /** Store calls since the start. */
+    var calls = 0L
+        private set
+
+    /** No lease guards the slices: only the next run on this host closes them. */
+    fun start() = handle(BudgetEvent.LeaseRenewed(clock.now()))
+
+    fun configChanged(config: EntryConfig) {
+        prepaid = config.customers.mapNotNull { c -> c.prepaidTokens?.let { c.id to it } }.toMap()
+    }
+
+    /** Whether requests of [customer] need tokens. */
+    fun isPrepaid(customer: CustomerId): Boolean = customer in prepaid
+
+    fun reserve(request: RequestId, customer: CustomerId, tokens: Long) =
+        handle(BudgetEvent.Reserve(request, customer, tokens))
+
+    fun settle(request: RequestId, used: Long) = handle(BudgetEvent.Settle(request, used))
+
+    fun storeReachable(reachable: Boolean) = handle(BudgetEvent.StoreReachable(reachable))
+
+    fun tick() {
+        handle(BudgetEvent.LeaseRenewed(clock.now()))
+        handle(BudgetEvent.Tick)
+    }
+
+    fun drain() = handle(BudgetEvent.Drain)
+
+    private fun handle(event: BudgetEvent) {
+        for (action in holder.handle(event, clock.now())) {
+            when (action) {
+                is BudgetAction.Reserved -> listener.reserved(action.request)
+                is BudgetAction.Refused -> listener.refused(action.request, action.kind)
+                is BudgetAction.ReadRecord -> read(action.customer)
+                is BudgetAction.WriteRecord -> write(action)
+                // Entry routers have no peers: they share tokens through the record alone.
+                is BudgetAction.SendToPeer -> Unit
+                BudgetAction.Fenced -> listener.fenced()
+                BudgetAction.Drained -> listener.drained()
+            }
+        }
+    }
+
+    private fun read(customer: CustomerId) {
+        val last = known[customer]
+        val plenty = last != null && last.record.available > last.record.paid / PLENTY_PART
+        val fresh = last != null && clock.now().elapsed - last.at < REUSE
+        scope.launch {
+            if (plenty && fresh) {
+                seen(customer, last!!.revision, last.record)
+            } else {
+                fetch(customer)
+            }
+        }
+    }
+
+    private suspend fun fetch(customer: CustomerId) {
+        val key = BudgetRecord.key(customer)
+        calls++
+        val values = (store.read(key) as? ReadResult.Values)?.values ?: return
+        val stored = values.firstOrNull { it.key == key }
+        val record = if (stored == null) BudgetRecord() else decode(stored) ?: return
+        pay(customer, stored?.revision ?: 0, record)
+    }
+
+    /** Enters what was paid since the record was written, then hands the record on. */
+    private suspend fun pay(customer: CustomerId, revision: Long, record: BudgetRecord) {
+        val total = prepaid[customer] ?: 0
+        val missing = total - record.paid
+        if (missing <= 0) {
+            seen(customer, revision, record)
+            return
+        }
+        // The id names the total, so that racing hosts enter the same payment once.
+        val next = record.withPayment("total-$total", missing)
+        calls++
+        when (val result = store.commit(listOf(write(customer, revision, next)))) {
+            is WriteResult.Applied -> {
+                log(LogEvent.PAYMENT_ENTERED, "customer" to customer, "tokens" to missing)
+                seen(customer, result.revision, next)
+            }
+
+            is WriteResult.Conflict -> {
+                val current = result.current.firstOrNull() ?: return
+                pay(customer, current.revision, decode(current) ?: return)
+            }
+
+            // The holder asks again.
+            is WriteResult.NotSent, is WriteResult.Unknown -> Unit
+        }
+    }
+
+    private fun seen(customer: CustomerId, revision: Long, record: BudgetRecord) {
+        val now = clock.now().elapsed
+        val last = known[customer]
+        if (last == null || last.revision <= revision) {
+            known[customer] = Known(revision, record, now)
+        }
+        earlierRuns(record)
+        handle(BudgetEvent.RecordRead(customer, revision, record))
+    }
+
+    /** This process runs on its host, so earlier ones there have ended. */
+    private fun earlierRuns(record: BudgetRecord) {
+        val host = self.value.substringBefore('/') + "/"
+        for (router in record.slices.keys) {
+            if (router == self || !router.value.startsWith(host)) continue
+            if (reportedDead.add(router)) handle(BudgetEvent.RouterDied(router, copies = null))
+        }
+    }
+
+    private fun write(action: BudgetAction.WriteRecord) {
+        writes += action
+        if (flushing) return
+        flushing = true
+        scope.launch {
+            flushing = false
+            val batch = writes.take(MAX_WRITES)
+            writes.subList(0, batch.size).clear()
+            commit(batch)
+        }
+    }
+
+    private suspend fun commit(batch: List<BudgetAction.WriteRecord>) {
+        calls++
+        val result =
+            store.commit(batch.map { write(it.customer, it.expectedRevision, it.record) })
+        val now = clock.now().elapsed
+        if (result is WriteResult.Conflict) {
+            for (stored in result.current) {
+                val customer = CustomerId(stored.key.removePrefix(BudgetRecord.PREFIX))
+                val record = decode(stored) ?: continue
+                known[customer] = Known(stored.revision, record, now)
+            }
+        }
+        for (action in batch) {
+            val outcome = when (result) {
+                is WriteResult.Applied -> {
+                    known[action.customer] = Known(result.revision, action.record, now)
+                    WriteOutcome.Applied(result.revision)
+                }
+
+                is WriteResult.Conflict -> WriteOutcome.Conflict
+
+                is WriteResult.NotSent, is WriteResult.Unknown -> {
+                    known -= action.customer
+                    WriteOutcome.Unknown
+                }
+            }
+            handle(BudgetEvent.RecordWritten(action.customer, action.sequence, outcome))
+        }
+    }
+
+    private fun write(customer: CustomerId, revision: Long, record: BudgetRecord) =
+        ConditionalWrite(
+            BudgetRecord.key(customer),
+            revision,
+            json.encodeToString(BudgetRecord.serializer(), record)
+        )
+
+    private fun decode(stored: StoredValue): BudgetRecord? = try {
+        json.decodeFromString(BudgetRecord.serializer(), stored.value)
+    } catch (e: SerializationException) {
+        log(LogEvent.RECORD_INVALID, "key" to stored.key, cause = e)
+        null
+    }
+
+    private companion object {
+        val json = Json { encodeDefaults = false }
+
+        /** Records in one transaction; the store accepts no more than 32 entries. */
+        const val MAX_WRITES = 16
+
+        /** A record with more than this part of its tokens unassigned needs no fresh read. */
+        const val PLENTY_PART = 5
+
+        /** How long a record that was seen stands in for a read. */
+        val REUSE = 10.seconds
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -0,0 +1,388 @@
+/*
+ * Assembles one entry router. An entry host has less than one processor, so decisions and traffic
+ * share one event loop and need no locks: every component is called on it.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpServerCodec
+import java.util.UUID
+import java.util.concurrent.CountDownLatch
+import java.util.concurrent.TimeUnit
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.asCoroutineDispatcher
+import kotlinx.coroutines.cancel
+import org.hemlockpond.core.EndpointId
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.entry.CallerLimits
+import org.hemlockpond.core.entry.DirectoryChange
+import org.hemlockpond.core.entry.EndpointDirectory
+import org.hemlockpond.core.entry.EntryConfig
+import org.hemlockpond.core.entry.EntryDispatcher
+import org.hemlockpond.core.entry.ListedEndpoint
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.RouterMetrics
+import org.hemlockpond.router.SystemClock
+import org.hemlockpond.router.log
+import org.hemlockpond.store.KeyValueStore
+
+/**
+ * @param group the event loop; one thread
+ * @param exit ends the process; called when another run of this host's router has taken over
+ */
+class EntryRouter(
+    private val settings: EntryRouterSettings,
+    private val group: EventLoopGroup,
+    private val store: KeyValueStore,
+    private val dialect: EntryDialect,
+    format: FleetFormat,
+    private val exit: (Int) -> Unit
+) {
+    private val clock: RouterClock = SystemClock()
+    private val loop = group.next()
+    private val scope = CoroutineScope(SupervisorJob() + loop.asCoroutineDispatcher())
+    private val id = RouterId("${settings.host}/${UUID.randomUUID().toString().take(RUN_ID)}")
+    private val metrics = RouterMetrics()
+    private val directory = EndpointDirectory()
+    private val dispatcher = EntryDispatcher(settings.domain, settings.entry)
+    private val pool = EndpointPool(
+        loop,
+        dialect,
+        clock,
+        settings
+    )
+    private val budgets = EntryBudgets(
+        id,
+        settings.domain,
+        settings.budget,
+        store,
+        scope,
+        clock,
+        Budgets()
+    )
+    private val requests =
+        EntryRequests(settings, dialect, dispatcher, budgets, pool, clock, metrics, loop, ::crashed)
+    private val fleet = EntryStore(store, format, settings, scope, Fleet())
+    private val connections = HashSet<CallerConnection>()
+    private val listeners = ArrayList<Channel>()
+
+    /** The limits that callers may still go by, with the time until which each holds. */
+    private val recentLimits = ArrayList<Pair<CallerLimits, Duration>>()
+    private var config: EntryConfig? = null
+    private var endpointsKnown = false
+    private var storeReachable = true
+    private var stopping = false
+    private val stopped = CountDownLatch(1)
+
+    /** Binds all addresses and starts following the store. */
+    fun start() {
+        listeners += StatusServer(settings.readiness, group, dialect.readinessPath, ::readiness)
+            .start()
+        listeners += StatusServer(settings.metrics, group, "/metrics") {
+            StatusPage(OK, metrics.scrape())
+        }.start()
+        listeners += listen()
+        gauges()
+        loop.execute {
+            budgets.start()
+            fleet.start()
+            every(settings.tick) { tick() }
+        }
+        log(
+            LogEvent.ENTRY_STARTED,
+            "router" to id,
+            "domain" to settings.domain,
+            "callers" to settings.callers,
+            "store" to settings.store
+        )
+    }
+
+    private fun gauges() {
+        metrics.gauge("hemlockpond.open.requests") { dispatcher.openRequests }
+        metrics.gauge("hemlockpond.waiting.requests") { dispatcher.waitingRequests }
+        metrics.gauge("hemlockpond.endpoint.connections.opened") { pool.opened }
+        metrics.gauge("hemlockpond.budget.store.calls") { budgets.calls }
+        metrics.gauge("hemlockpond.caller.connections") { connections.size }
+    }
+
+    private fun listen(): Channel = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .option(ChannelOption.SO_BACKLOG, BACKLOG)
+        .childOption(ChannelOption.TCP_NODELAY, true)
+        .childOption(
+            ChannelOption.WRITE_BUFFER_WATER_MARK,
+            WriteBufferWaterMark(CALLER_BUFFER_BYTES / 2, CALLER_BUFFER_BYTES)
+        )
+        .childHandler(
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) = accept(channel)
+            }
+        )
+        .bind(settings.callers)
+        .sync()
+        .channel()
+
+    private fun accept(channel: SocketChannel) {
+        val bytes = config?.limits?.maxHeaderBytes ?: DEFAULT_HEADER_BYTES
+        val decoder = HttpDecoderConfig()
+            .setMaxInitialLineLength(bytes)
+            .setMaxHeaderSize(bytes)
+        val headers = HeaderClock { clock.now().elapsed }
+        val connection = CallerConnection(Callers(), headers)
+        connections += connection
+        channel.pipeline()
+            .addLast(headers, HttpServerCodec(decoder), headers.Heads(), connection)
+    }
+
+    private fun every(interval: Duration, block: () -> Unit) {
+        val millis = interval.inWholeMilliseconds
+        loop.scheduleWithFixedDelay(
+            {
+                // A failed tick must not end the timer.
+                try {
+                    block()
+                } catch (e: Exception) {
+                    log(LogEvent.CONTROL_FAILED, cause = e)
+                }
+            },
+            millis,
+            millis,
+            TimeUnit.MILLISECONDS
+        )
+    }
+
+    private fun tick() {
+        val now = clock.now().elapsed
+        budgets.tick()
+        changed(directory.tick(now))
+        requests.tick(now)
+        pool.tick()
+    }
+
+    /**
+     * The settings file changed. Addresses can't change while the router runs; [read] returns the
+     * errors of the new file.
+     */
+    fun settingsChanged(read: () -> List<String>) {
+        val errors = read()
+        if (errors.isEmpty()) {
+            log(LogEvent.SETTINGS_RELOADED)
+        } else {
+            log(LogEvent.SETTINGS_REFUSED, "errors" to errors.joinToString("; "))
+        }
+    }
+
+    private val isReady: Boolean get() = config != null && endpointsKnown && !stopping
+
+    private fun readiness(): StatusPage =
+        if (isReady) StatusPage(OK, "ready\n") else StatusPage(UNAVAILABLE, "not ready\n")
+
+    private fun changed(changes: List<DirectoryChange>) {
+        for (change in changes) {
+            when (change) {
+                is DirectoryChange.Added -> logEndpoint("usable", change.endpoint)
+
+                is DirectoryChange.Updated -> Unit
+
+                is DirectoryChange.Removed -> log(
+                    LogEvent.ENDPOINT_CHANGED,
+                    "endpoint" to change.id,
+                    "state" to "gone",
+                    "reason" to change.reason
+                )
+            }
+        }
+        if (changes.isNotEmpty()) requests.endpointsChanged(changes)
+    }
+
+    private fun logEndpoint(state: String, endpoint: ListedEndpoint) = log(
+        LogEvent.ENDPOINT_CHANGED,
+        "endpoint" to endpoint.id,
+        "state" to state,
+        "service" to endpoint.service,
+        "domain" to endpoint.domain,
+        "version" to endpoint.version
+    )
+
+    private fun crashed(content: Long, crashes: Int) =
+        fleet.recordCrash(content, id.value.replace('/', '.'), crashes)
+
+    /**
+     * Stops: no longer ready, requests under way are finished, unspent tokens are returned. Blocks
+     * until all is done or the time for it is over.
+     */
+    fun stop() {
+        val limit = settings.stopLimit - STOP_MARGIN
+        loop.execute { beginStop(limit) }
+        if (!stopped.await(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)) {
+            log(LogEvent.DRAIN_TIMEOUT, "open" to dispatcher.openRequests)
+        }
+        scope.cancel()
+        log(LogEvent.ROUTER_STOPPED)
+    }
+
+    private fun beginStop(limit: Duration) {
+        if (stopping) return
+        stopping = true
+        log(LogEvent.ROUTER_DRAINING, "open" to dispatcher.openRequests)
+        val linger = minOf(settings.stopLinger, limit / 2)
+        loop.schedule({ endStop() }, linger.inWholeMilliseconds, TimeUnit.MILLISECONDS)
+    }
+
+    /** The platform sends no new callers by now. */
+    private fun endStop() {
+        connections.toList().forEach { it.closeIfIdle() }
+        if (requests.open > 0) {
+            loop.schedule({ endStop() }, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS)
+            return
+        }
+        budgets.drain()
+    }
+
+    private inner class Budgets : BudgetListener {
+        override fun reserved(request: RequestId) = requests.reserved(request)
+
+        override fun refused(request: RequestId, kind: ErrorKind) =
+            requests.budgetRefused(request, kind)
+
+        override fun fenced() {
+            log(LogEvent.FENCED)
+            exit(EXIT_FENCED)
+        }
+
+        override fun drained() = stopped.countDown()
+    }
+
+    private inner class Fleet : FleetListener {
+        override fun config(config: EntryConfig, revision: Long) {
+            val known = this@EntryRouter.config
+            if (known != null && config.version <= known.version) return
+            this@EntryRouter.config = config
+            val now = clock.now().elapsed
+            known?.let { recentLimits += it.limits to now + LIMITS_OVERLAP }
+            recentLimits.removeAll { it.second < now }
+            requests.configChanged(config)
+            budgets.configChanged(config)
+            log(
+                LogEvent.CONFIG_APPLIED,
+                "version" to config.version,
+                "revision" to revision,
+                "routes" to config.routes.size,
+                "customers" to config.customers.size
+            )
+        }
+
+        override fun endpointsListed(entries: List<ListedEndpoint>) {
+            changed(directory.listed(entries, clock.now().elapsed))
+            endpointsKnown = true
+        }
+
+        override fun endpointChanged(entry: ListedEndpoint) =
+            changed(directory.changed(entry, clock.now().elapsed))
+
+        override fun endpointRemoved(id: EndpointId) =
+            changed(directory.removed(id, clock.now().elapsed))
+
+        override fun endpointUnreadable(id: EndpointId) = changed(directory.unreadable(id))
+
+        override fun crashRecorded(content: Long, record: String) =
+            requests.crashRecorded(content, record)
+
+        override fun storeAnswered(answered: Boolean, cause: String?) {
+            if (answered == storeReachable) return
+            storeReachable = answered
+            val now = clock.now().elapsed
+            if (answered) {
+                log(LogEvent.STORE_REACHABLE)
+                directory.storeReturned(now)
+            } else {
+                log(LogEvent.STORE_UNREACHABLE, "cause" to cause)
+                directory.storeLost()
+            }
+            budgets.storeReachable(answered)
+        }
+    }
+
+    private inner class Callers : CallerListener {
+        override val closing: Boolean get() = stopping
+        override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
+
+        /** A caller may still go by a limit that was just replaced. */
+        override val idleTimeout: Duration
+            get() {
+                val now = clock.now().elapsed
+                val recent = recentLimits.filter { it.second > now }.map { it.first.idleTimeout }
+                return maxOf(recent.maxOrNull() ?: Duration.ZERO, limits()?.idleTimeout ?: IDLE)
+            }
+
+        override val headerTimeout: Duration get() = limits()?.headerTimeout ?: IDLE
+
+        private fun limits(): CallerLimits? = config?.limits
+
+        override fun received(
+            connection: CallerConnection,
+            request: HttpRequest,
+            body: ByteBuf,
+            arrival: Duration
+        ) = requests.received(connection, request, body, arrival)
+
+        override fun gone(connection: CallerConnection) {
+            connections -= connection
+            connection.exchange?.let { requests.callerGone(it) }
+        }
+
+        override fun writabilityChanged(connection: CallerConnection) {
+            connection.exchange?.callerWritable(connection.isWritable)
+        }
+
+        override fun malformed(kind: ErrorKind, detail: String?) {
+            metrics.refused(null, kind)
+            log(LogEvent.REQUEST_MALFORMED, "kind" to kind.code, "detail" to detail)
+        }
+
+        override fun now(): Duration = clock.now().elapsed
+    }
+
+    private companion object {
+        const val OK = 200
+        const val UNAVAILABLE = 503
+        const val EXIT_FENCED = 5
+        const val BACKLOG = 1_024
+
+        /** Characters of a run's id; distinguishes the runs on one host. */
+        const val RUN_ID = 8
+
+        /** Before the first configuration. */
+        const val DEFAULT_HEADER_BYTES = 16 * 1024
+        const val DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+        val IDLE = 15.seconds
+
+        /** What waits for a slow reader before its endpoint is stopped. */
+        const val CALLER_BUFFER_BYTES = 32 * 1024
+
+        /** The platform ends the process at the limit; the last log lines leave before. */
+        val STOP_MARGIN = 300.milliseconds
+        const val STOP_POLL_MILLIS = 20L
+
+        /** Connections that were idle under an earlier limit have ended after this time. */
+        val LIMITS_OVERLAP = 30.seconds
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EventSplitter.kt
@@ -0,0 +1,66 @@
+/*
+ * Splits the bytes of an event stream after its last whole event, so that a stream that breaks off
+ * inside an event can go on with the next one.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.buffer.ByteBuf
+import io.netty.buffer.Unpooled
+
+internal class EventSplitter {
+    private var rest: ByteBuf = Unpooled.EMPTY_BUFFER
+
+    /** Whole events so far. */
+    var events = 0L
+        private set
+
+    /** The id of the last whole event; null before the first one with an id. */
+    var lastId: String? = null
+        private set
+
+    /** Adds [bytes], which are released, and returns the whole events; the caller releases them. */
+    fun add(bytes: ByteBuf): ByteBuf {
+        val all = if (rest.isReadable) Unpooled.wrappedBuffer(rest, bytes) else bytes
+        rest = Unpooled.EMPTY_BUFFER
+        var end = all.readerIndex()
+        var line = all.readerIndex()
+        var id: String? = null
+        for (i in all.readerIndex() until all.writerIndex()) {
+            if (all.getByte(i) != LINE_FEED) continue
+            var length = i - line
+            if (length > 0 && all.getByte(i - 1) == CARRIAGE_RETURN) length--
+            if (length == 0) {
+                end = i + 1
+                events++
+                lastId = id ?: lastId
+            } else {
+                id = idField(all, line, length) ?: id
+            }
+            line = i + 1
+        }
+        val whole = all.readRetainedSlice(end - all.readerIndex())
+        if (all.isReadable) rest = all.copy()
+        all.release()
+        return whole
+    }
+
+    private fun idField(bytes: ByteBuf, start: Int, length: Int): String? {
+        if (length < ID.length) return null
+        for (i in ID.indices) if (bytes.getByte(start + i) != ID[i].code.toByte()) return null
+        val value = bytes.toString(start + ID.length, length - ID.length, Charsets.UTF_8)
+        return value.removePrefix(" ")
+    }
+
+    /** Returns the bytes of an unfinished event; the caller releases them. */
+    fun takeRest(): ByteBuf = rest.also { rest = Unpooled.EMPTY_BUFFER }
+
+    fun dropRest() {
+        takeRest().release()
+    }
+
+    private companion object {
+        const val LINE_FEED = '\n'.code.toByte()
+        const val CARRIAGE_RETURN = '\r'.code.toByte()
+        const val ID = "id:"
+    }
+}
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/StatusServer.kt
@@ -0,0 +1,69 @@
+/*
+ * A small HTTP server for one page: the platform's readiness question, or the metrics.
+ */
+package org.hemlockpond.router.entry
+
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.EventLoopGroup
+import io.netty.channel.SimpleChannelInboundHandler
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpRequest
+import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpServerCodec
+import io.netty.handler.codec.http.HttpUtil
+import io.netty.handler.codec.http.HttpVersion
+import java.net.InetSocketAddress
+
+/** A page of a [StatusServer]. */
+internal class StatusPage(val status: Int, val text: String)
+
+internal class StatusServer(
+    private val address: InetSocketAddress,
+    private val group: EventLoopGroup,
+    private val path: String,
+    private val page: () -> StatusPage
+) {
+    fun start(): Channel = ServerBootstrap()
+        .group(group)
+        .channel(NioServerSocketChannel::class.java)
+        .childHandler(
+            object : ChannelInitializer<SocketChannel>() {
+                override fun initChannel(channel: SocketChannel) {
+                    channel.pipeline().addLast(HttpServerCodec(), Pages())
+                }
+            }
+        )
+        .bind(address)
+        .sync()
+        .channel()
+
+    private inner class Pages : SimpleChannelInboundHandler<HttpObject>() {
+        override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
+            if (message !is HttpRequest) return
+            val found = message.uri().substringBefore('?') == path
+            val answer = if (found) page() else StatusPage(HttpResponseStatus.NOT_FOUND.code(), "")
+            val bytes = Unpooled.copiedBuffer(answer.text, Charsets.UTF_8)
+            val status = HttpResponseStatus.valueOf(answer.status)
+            val response = DefaultFullHttpResponse(HttpVersion.HTTP_1_1, status, bytes)
+            response.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, "text/plain; charset=utf-8")
+                .set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes())
+            val written = context.writeAndFlush(response)
+            if (!HttpUtil.isKeepAlive(message)) written.addListener(ChannelFutureListener.CLOSE)
+        }
+
+        @Deprecated("Netty's own deprecation of the handler method")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            context.close()
+        }
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
@@ -14,12 +14,12 @@
 import org.hemlockpond.core.Now
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.membership.Member
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.LeaseId
-import org.hemlockpond.platform.LeaseResult
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.LeaseId
+import org.hemlockpond.store.LeaseResult
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.WriteResult
 import org.hemlockpond.router.RouterClock
 
 /** What the leases report; called on their own threads. */
@@ -40,7 +40,7 @@
 }
 
 internal class LeaseKeeper(
-    private val client: PlatformClient,
+    private val client: EtcdStore,
     private val scope: CoroutineScope,
     private val self: Member,
     private val routerLease: Duration,
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWatch.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWatch.kt
@@ -15,9 +15,9 @@
 import org.hemlockpond.core.RouteId
 import org.hemlockpond.core.configuration.ConfigEntry
 import org.hemlockpond.core.configuration.ConfigState
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.StoreChange
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoreChange
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
 
@@ -38,7 +38,7 @@
 }
 
 internal class StoreWatch(
-    private val client: PlatformClient,
+    private val client: EtcdStore,
     private val scope: CoroutineScope,
     private val listener: WatchListener
 ) {
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -33,12 +33,12 @@
 import org.hemlockpond.core.moves.MoveAction
 import org.hemlockpond.core.moves.MoveEvent
 import org.hemlockpond.core.moves.MoveRecord
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.LeaseId
-import org.hemlockpond.platform.LeaseResult
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.LeaseId
+import org.hemlockpond.store.LeaseResult
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.WriteResult
 import org.hemlockpond.router.Decisions
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
@@ -59,7 +59,7 @@
  */
 internal class StoreWorker(
     private val self: RouterId,
-    private val client: PlatformClient,
+    private val client: EtcdStore,
     private val scope: CoroutineScope,
     private val clock: RouterClock,
     private val decisions: Decisions,
@@ -81,7 +81,7 @@
     val calls: Long get() = callCount.get()
 
     fun readBudget(action: BudgetAction.ReadRecord) = scope.launch {
-        val read = client.read(budgetKey(action.customer))
+        val read = client.read(BudgetRecord.key(action.customer))
         seen(read !is ReadResult.Unavailable)
         val values = (read as? ReadResult.Values)?.values ?: return@launch
         val stored = values.firstOrNull()
@@ -94,7 +94,7 @@
 
     fun writeBudget(action: BudgetAction.WriteRecord) = scope.launch {
         val value = json.encodeToString(BudgetRecord.serializer(), action.record)
-        val write = ConditionalWrite(budgetKey(action.customer), action.expectedRevision, value)
+        val write = ConditionalWrite(BudgetRecord.key(action.customer), action.expectedRevision, value)
         val result = client.commit(listOf(write))
         seen(result.answered)
         val outcome = when (result) {
@@ -279,7 +279,6 @@
         /** One lease serves the records of a day, so each record lasts 7 days at least. */
         private val RUN_LEASE_USE = 1.days
 
-        fun budgetKey(customer: CustomerId): String = "hemlockpond/budgets/$customer"
 
         fun runKey(request: RequestId): String = "hemlockpond/runs/$request"
 
--- a/standins/src/main/kotlin/org/hemlockpond/standins/EngineStandIn.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/EngineStandIn.kt
@@ -17,7 +17,7 @@
 import kotlinx.serialization.json.put
 import kotlinx.serialization.json.putJsonArray
 import kotlinx.serialization.json.putJsonObject
-import org.hemlockpond.platform.EtcdJson
+import org.hemlockpond.store.EtcdJson
 
 /**
  * Behaviour of an engine; tests change it while the engine runs (`POST /control`).
--- a/standins/src/main/kotlin/org/hemlockpond/standins/ServiceStandIn.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/ServiceStandIn.kt
@@ -7,7 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.serialization.Serializable
-import org.hemlockpond.platform.EtcdJson
+import org.hemlockpond.store.EtcdJson
 
 /**
  * Behaviour of a service; tests change it while the service runs (`POST /control`).
--- a/standins/src/main/kotlin/org/hemlockpond/standins/StoreStandIn.kt
+++ b/standins/src/main/kotlin/org/hemlockpond/standins/StoreStandIn.kt
@@ -7,25 +7,25 @@
 import java.util.TreeMap
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import org.hemlockpond.platform.EtcdHeader
-import org.hemlockpond.platform.EtcdJson
-import org.hemlockpond.platform.EtcdKeyValue
-import org.hemlockpond.platform.LeaseGrantRequest
-import org.hemlockpond.platform.LeaseGrantResponse
-import org.hemlockpond.platform.LeaseKeepAliveRequest
-import org.hemlockpond.platform.LeaseKeepAliveResponse
-import org.hemlockpond.platform.PutResponse
-import org.hemlockpond.platform.RangeRequest
-import org.hemlockpond.platform.RangeResponse
-import org.hemlockpond.platform.RequestOp
-import org.hemlockpond.platform.ResponseOp
-import org.hemlockpond.platform.TxnRequest
-import org.hemlockpond.platform.TxnResponse
-import org.hemlockpond.platform.WatchEvent
-import org.hemlockpond.platform.WatchRequest
-import org.hemlockpond.platform.WatchResponse
-import org.hemlockpond.platform.WatchResult
-import org.hemlockpond.platform.decodeText
+import org.hemlockpond.store.EtcdHeader
+import org.hemlockpond.store.EtcdJson
+import org.hemlockpond.store.EtcdKeyValue
+import org.hemlockpond.store.LeaseGrantRequest
+import org.hemlockpond.store.LeaseGrantResponse
+import org.hemlockpond.store.LeaseKeepAliveRequest
+import org.hemlockpond.store.LeaseKeepAliveResponse
+import org.hemlockpond.store.PutResponse
+import org.hemlockpond.store.RangeRequest
+import org.hemlockpond.store.RangeResponse
+import org.hemlockpond.store.RequestOp
+import org.hemlockpond.store.ResponseOp
+import org.hemlockpond.store.TxnRequest
+import org.hemlockpond.store.TxnResponse
+import org.hemlockpond.store.WatchEvent
+import org.hemlockpond.store.WatchRequest
+import org.hemlockpond.store.WatchResponse
+import org.hemlockpond.store.WatchResult
+import org.hemlockpond.store.decodeText
 
 /** Faults of the stand-in store. */
 @Serializable
--- a/standins/src/test/kotlin/org/hemlockpond/standins/PlatformClientTest.kt
+++ b/standins/src/test/kotlin/org/hemlockpond/standins/EtcdStoreTest.kt
@@ -12,17 +12,17 @@
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.LeaseId
-import org.hemlockpond.platform.LeaseResult
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.LeaseId
+import org.hemlockpond.store.LeaseResult
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.WriteResult
 
-class PlatformClientTest {
+class EtcdStoreTest {
     private val store = StoreStandIn(0)
     private val client =
-        PlatformClient(listOf(InetSocketAddress("127.0.0.1", store.port)), timeout = 2.seconds)
+        EtcdStore(listOf(InetSocketAddress("127.0.0.1", store.port)), timeout = 2.seconds)
 
     @AfterTest
     fun close() {
--- a/standins/src/test/kotlin/org/hemlockpond/standins/TestFleet.kt
+++ b/standins/src/test/kotlin/org/hemlockpond/standins/TestFleet.kt
@@ -34,10 +34,10 @@
 import org.hemlockpond.core.RouteKind
 import org.hemlockpond.core.VersionId
 import org.hemlockpond.core.budget.BudgetRecord
-import org.hemlockpond.platform.ConditionalWrite
-import org.hemlockpond.platform.PlatformClient
-import org.hemlockpond.platform.ReadResult
-import org.hemlockpond.platform.WriteResult
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.EtcdStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.WriteResult
 
 /** A router process. */
 internal class RouterProcess(
@@ -97,7 +97,7 @@
     val store = StoreStandIn(0)
     val engines = List(2) { EngineStandIn(0, engine) }
     val service = ServiceStandIn(0, ServiceBehaviour())
-    val client = PlatformClient(listOf(InetSocketAddress("127.0.0.1", store.port)))
+    val client = EtcdStore(listOf(InetSocketAddress("127.0.0.1", store.port)))
     val customer = CustomerId("workshop")
     private val http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build()
     private val ports = domains.map { List(3) { freePort() } }
--- a/platform/src/main/kotlin/org/hemlockpond/platform/EtcdMessages.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/EtcdMessages.kt
@@ -3,7 +3,7 @@
  * and values, and 64-bit integers written as strings follow the published protobuf-to-JSON mapping
  * (https://etcd.io/docs/v3.5/dev-guide/api_grpc_gateway/).
  */
-package org.hemlockpond.platform
+package org.hemlockpond.store
 
 import java.util.Base64
 import kotlinx.serialization.EncodeDefault
--- a/platform/src/main/kotlin/org/hemlockpond/platform/PlatformClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/EtcdStore.kt
@@ -2,7 +2,7 @@
  * Client of the platform's key-value service, which speaks the etcd v3 JSON gateway protocol over
  * HTTP. Calls go to one address at a time and move to the next address after a failure.
  */
-package org.hemlockpond.platform
+package org.hemlockpond.store
 
 import java.net.InetSocketAddress
 import java.util.concurrent.atomic.AtomicInteger
@@ -16,15 +16,15 @@
 import kotlinx.serialization.SerializationException
 
 /**
- * Calls the platform store. All functions may be called from any coroutine.
+ * The store behind the product's own interface.
  *
  * @param addresses the store's addresses, tried in turn
  * @param timeout how long one call may take before it counts as failed
  */
-class PlatformClient(
+class EtcdStore(
     private val addresses: List<InetSocketAddress>,
     timeout: Duration = 2.seconds
-) : AutoCloseable {
+) : KeyValueStore {
     private val http = JsonHttpClient(timeout)
     private val current = AtomicInteger(0)
 
@@ -32,11 +32,9 @@
         require(addresses.isNotEmpty()) { "the platform store needs at least one address" }
     }
 
-    /** Reads one key. */
-    suspend fun read(key: String): ReadResult = readRange(RangeRequest(encodeText(key)))
+    override suspend fun read(key: String): ReadResult = readRange(RangeRequest(encodeText(key)))
 
-    /** Reads all keys that start with [prefix]. */
-    suspend fun readPrefix(prefix: String): ReadResult =
+    override suspend fun readPrefix(prefix: String): ReadResult =
         readRange(RangeRequest(encodeText(prefix), encodeText(prefixEnd(prefix))))
 
     private suspend fun readRange(request: RangeRequest): ReadResult {
@@ -53,8 +51,7 @@
         }
     }
 
-    /** Applies all [writes] or none of them. */
-    suspend fun commit(writes: List<ConditionalWrite>): WriteResult {
+    override suspend fun commit(writes: List<ConditionalWrite>): WriteResult {
         val result = callTxn(writes.toTxn())
         return when (result) {
             is CallResult.Answer -> result.value.toWriteResult()
@@ -78,8 +75,7 @@
         }
     }
 
-    /** Grants a new lease of [ttl]. */
-    suspend fun grantLease(ttl: Duration): LeaseResult {
+    override suspend fun grantLease(ttl: Duration): LeaseResult {
         val request = LeaseGrantRequest(ttl.inWholeSeconds.toString())
         val result = call(
             "/v3/lease/grant",
@@ -93,8 +89,7 @@
         }
     }
 
-    /** Renews a lease. */
-    suspend fun keepAlive(lease: LeaseId): LeaseResult {
+    override suspend fun keepAlive(lease: LeaseId): LeaseResult {
         val result = call(
             "/v3/lease/keepalive",
             LeaseKeepAliveRequest.serializer(),
@@ -107,11 +102,7 @@
         }
     }
 
-    /**
-     * Watches all keys that start with [prefix] from [fromRevision] on. The flow ends when the
-     * connection does; the caller then reads the prefix again and opens a new watch.
-     */
-    fun watch(prefix: String, fromRevision: Long): Flow<List<StoreChange>> {
+    override fun watch(prefix: String, fromRevision: Long): Flow<List<StoreChange>> {
         val create = WatchCreate(
             encodeText(prefix),
             encodeText(prefixEnd(prefix)),
--- a/platform/src/main/kotlin/org/hemlockpond/platform/JsonHttpClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
@@ -1,8 +1,9 @@
 /*
- * A small HTTP/1.1 client on Netty for JSON calls: one connection for each call or stream. The
- * store is called a few times a second, so connections are not pooled.
+ * A small HTTP/1.1 client on Netty for JSON calls: one connection for each call or stream. Stores
+ * are called a few times a second, so connections are not pooled, and a connection that has gone
+ * silent never delays a later call.
  */
-package org.hemlockpond.platform
+package org.hemlockpond.store
 
 import io.netty.bootstrap.Bootstrap
 import io.netty.buffer.ByteBuf
@@ -11,6 +12,7 @@
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.ChannelPipeline
+import io.netty.channel.EventLoopGroup
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
 import io.netty.channel.nio.NioIoHandler
@@ -40,22 +42,41 @@
 import kotlinx.coroutines.suspendCancellableCoroutine
 
 /** The result of one HTTP call. */
-internal sealed interface HttpResult {
+sealed interface HttpResult {
     data class Answer(val status: Int, val body: String) : HttpResult
 
     /** [sent] tells whether the server may have received the request. */
     data class Failed(val cause: String, val sent: Boolean) : HttpResult
 }
 
-/** Posts JSON and reads JSON answers or streams of JSON objects. */
-internal class JsonHttpClient(private val timeout: Duration) : AutoCloseable {
-    private val group = MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
+/**
+ * Sends JSON and reads JSON answers or streams of JSON objects.
+ *
+ * @param timeout how long a call may take unless it says otherwise
+ * @param sharedGroup the event loops to run on; null for a loop of its own
+ */
+class JsonHttpClient(
+    private val timeout: Duration,
+    private val sharedGroup: EventLoopGroup? = null
+) : AutoCloseable {
+    private val group =
+        sharedGroup ?: MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory())
 
     suspend fun post(address: InetSocketAddress, path: String, body: String): HttpResult =
+        call(address, HttpMethod.POST, path, body)
+
+    /** Makes one call; [limit] bounds connecting and each wait for bytes. */
+    suspend fun call(
+        address: InetSocketAddress,
+        method: HttpMethod,
+        path: String,
+        body: String = "",
+        limit: Duration = timeout
+    ): HttpResult =
         suspendCancellableCoroutine { continuation ->
             val handler = AnswerHandler(continuation)
             val connected = bootstrap {
-                addLast(ReadTimeoutHandler(timeout.inWholeMilliseconds, TimeUnit.MILLISECONDS))
+                addLast(ReadTimeoutHandler(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS))
                 addLast(HttpClientCodec())
                 addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
                 addLast(handler)
@@ -65,7 +86,7 @@
                     handler.finish(HttpResult.Failed(describe(it.cause()), sent = false))
                 } else {
                     handler.sent = true
-                    connected.channel().writeAndFlush(request(address, path, body))
+                    connected.channel().writeAndFlush(request(address, method, path, body))
                 }
             }
             continuation.invokeOnCancellation { connected.channel().close() }
@@ -102,7 +123,8 @@
             }.connect(address)
             connected.addListener {
                 if (it.isSuccess) {
-                    connected.channel().writeAndFlush(request(address, path, body))
+                    val request = request(address, HttpMethod.POST, path, body)
+                    connected.channel().writeAndFlush(request)
                 } else {
                     close()
                 }
@@ -111,7 +133,7 @@
         }
 
     override fun close() {
-        group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
+        if (sharedGroup == null) group.shutdownGracefully(0, 1, TimeUnit.SECONDS)
     }
 
     private fun bootstrap(handlers: ChannelPipeline.() -> Unit): Bootstrap = Bootstrap()
@@ -124,13 +146,20 @@
             }
         )
 
-    private fun request(address: InetSocketAddress, path: String, body: String): Any {
+    private fun request(
+        address: InetSocketAddress,
+        method: HttpMethod,
+        path: String,
+        body: String
+    ): Any {
         val bytes = Unpooled.copiedBuffer(body, Charsets.UTF_8)
-        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, path, bytes)
-        request.headers()
-            .set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
-            .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
-            .set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes())
+        val request = DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, path, bytes)
+        request.headers().set(HttpHeaderNames.HOST, "${address.hostString}:${address.port}")
+        if (method != HttpMethod.GET) {
+            request.headers()
+                .set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON)
+                .set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes())
+        }
         return request
     }
 
--- /dev/null
+++ b/store/src/main/kotlin/org/hemlockpond/store/KeyValueStore.kt
@@ -0,0 +1,33 @@
+/*
+ * What the product needs of a metadata store. [EtcdStore] speaks the product's own protocol; a
+ * deployment with another store brings an implementation of its own.
+ */
+package org.hemlockpond.store
+
+import kotlin.time.Duration
+import kotlinx.coroutines.flow.Flow
+
+/** A linearizable key-value store. All functions may be called from any coroutine. */
+interface KeyValueStore : AutoCloseable {
+    /** Reads one key. */
+    suspend fun read(key: String): ReadResult
+
+    /** Reads all keys that start with [prefix]. */
+    suspend fun readPrefix(prefix: String): ReadResult
+
+    /** Applies all [writes] or none of them. */
+    suspend fun commit(writes: List<ConditionalWrite>): WriteResult
+
+    /** Grants a new lease of [ttl]. */
+    suspend fun grantLease(ttl: Duration): LeaseResult
+
+    /** Renews a lease. */
+    suspend fun keepAlive(lease: LeaseId): LeaseResult
+
+    /**
+     * Watches all keys that start with [prefix] from [fromRevision] on. An empty list shows that
+     * the watch still stands. The flow ends when the connection does or the history is gone; the
+     * caller then reads the prefix again and opens a new watch.
+     */
+    fun watch(prefix: String, fromRevision: Long): Flow<List<StoreChange>>
+}
--- a/platform/src/main/kotlin/org/hemlockpond/platform/StoreTypes.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/StoreTypes.kt
@@ -2,7 +2,7 @@
  * Results of calls to the platform store. A write whose answer is lost is `Unknown`: it may have
  * taken effect, and the writer has to read back before it tries again.
  */
-package org.hemlockpond.platform
+package org.hemlockpond.store
 
 /** A stored value. [revision] is the store revision of its last change. */
 data class StoredValue(val key: String, val value: String, val revision: Long)
