--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -6,6 +6,7 @@
 package org.hemlockpond.router.entry
 
 import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
@@ -109,17 +110,22 @@
 
     private fun read(customer: CustomerId) {
         val last = known[customer]
-        val plenty = last != null && last.record.available > last.record.paid / PLENTY_PART
-        val fresh = last != null && clock.now().elapsed - last.at < REUSE
         scope.launch {
-            if (plenty && fresh) {
-                seen(customer, last!!.revision, last.record)
+            if (last != null && mayReuse(last)) {
+                seen(customer, last.revision, last.record)
             } else {
                 fetch(customer)
             }
         }
     }
 
+    /** A fresh record, or an older one with so many tokens that a conflict is the only risk. */
+    private fun mayReuse(known: Known): Boolean {
+        val age = clock.now().elapsed - known.at
+        val plenty = known.record.available > known.record.paid / PLENTY_PART
+        return age < FRESH || (plenty && age < REUSE)
+    }
+
     private suspend fun fetch(customer: CustomerId) {
         val key = BudgetRecord.key(customer)
         calls++
@@ -240,7 +246,10 @@
         /** A record with more than this part of its tokens unassigned needs no fresh read. */
         const val PLENTY_PART = 5
 
-        /** How long a record that was seen stands in for a read. */
+        /** The time between a conflict, which brings the record, and the next write. */
+        val FRESH = 50.milliseconds
+
+        /** How long a record with plenty of tokens stands in for a read. */
         val REUSE = 10.seconds
     }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -50,15 +50,16 @@
     val tick: Duration = 25.milliseconds,
     val entry: EntrySettings = EntrySettings(),
     val budget: BudgetSettings = BudgetSettings(
-        grantSpan = 6.seconds,
-        lowSpan = 3.seconds,
-        reportInterval = 4.seconds,
-        idleReportInterval = 8.seconds,
-        placedShare = 0.25,
-        demandSpan = 6.seconds,
-        endHorizon = 5.seconds,
-        endSpan = 500.milliseconds,
-        knownFor = 500.milliseconds,
+        grantWait = 1.seconds,
+        grantSpan = 1.seconds,
+        lowSpan = 300.milliseconds,
+        reportInterval = 1.seconds,
+        idleReportInterval = 3.seconds,
+        placedShare = 0.3,
+        demandSpan = 8.seconds,
+        endHorizon = 3.seconds,
+        endSpan = 200.milliseconds,
+        knownFor = 300.milliseconds,
         copylessDelay = Duration.ZERO
     )
 )
