--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -84,7 +84,10 @@
         }
         val account = account(event.customer)
         if (account.waiting.any { it.request == event.request }) return
-        account.waiting += Waiter(event.request, event.tokens, time, time + settings.grantWait)
+        // Without store and peers no tokens can come.
+        val hopeless = !storeReachable && placement.peers == 0
+        val wait = if (hopeless) Duration.ZERO else settings.grantWait
+        account.waiting += Waiter(event.request, event.tokens, time, time + wait)
         work(account)
     }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
@@ -1,7 +1,7 @@
 /*
- * Chooses an endpoint for one request: the one with the earliest predicted answer, where another
- * failure domain counts as later. Hosts agree on the engine of a new prompt part by rendezvous
- * hashing, without a message, so that the part is read once and not once for each host.
+ * Chooses an endpoint for one request. Reading a shared prompt part again costs more than anything
+ * else that placement decides, so the endpoints that have it go first as long as their answer comes
+ * early enough. Hosts agree on the endpoint of a part by rendezvous hashing, without a message.
  */
 package org.hemlockpond.core.entry
 
@@ -14,7 +14,7 @@
     private val domain: FailureDomain,
     private val settings: EntrySettings
 ) {
-    class Chosen(val load: EndpointLoad, val predicted: Duration)
+    class Chosen(val load: EndpointLoad, val predicted: Duration, val likely: Double)
 
     /** The best of [loads] that has room and isn't in [avoid]; null if there is none. */
     fun choose(
@@ -24,31 +24,28 @@
         now: Duration
     ): Chosen? {
         val free = loads.filter { it.listed.id !in avoid && it.hasRoom(now) }
-        val home = sharedPart(request.prompt)?.let { home(it, free, now) }
-        var best: EndpointLoad? = null
-        var bestPredicted = Duration.INFINITE
+        val homes = homes(request.prompt, loads)
+        var best: Chosen? = null
         var bestCost = Duration.INFINITE
         for (load in free) {
-            val predicted = load.predict(request.prompt, now, likelyCached = load === home)
-            val cost = predicted +
-                if (load.listed.domain == domain) Duration.ZERO else settings.domainPenalty
+            val place = homes.indexOf(load)
+            val likely = if (place < 0) 0.0 else settings.homeShares[place]
+            val uncached = load.uncached(request.prompt, now, likely)
+            val predicted = load.predict(uncached.own + uncached.shared, now)
+            val far = if (load.listed.domain == domain) Duration.ZERO else settings.domainPenalty
+            val cost = predicted + settings.rereadPenalty * uncached.shared.toDouble() + far
             if (cost < bestCost) {
-                best = load
-                bestPredicted = predicted
+                best = Chosen(load, predicted, likely)
                 bestCost = cost
             }
         }
-        return best?.let { Chosen(it, bestPredicted) }
+        return best
     }
 
-    /** The last part that other requests share. */
-    private fun sharedPart(prompt: Prompt?): PromptPart? =
-        prompt?.parts?.let { if (it.size > 1) it[it.size - 2] else null }
-
-    private fun home(part: PromptPart, free: List<EndpointLoad>, now: Duration): EndpointLoad? {
-        if (free.any { it.knows(part, now) }) return null
-        val near = free.filter { it.listed.domain == domain }.ifEmpty { free }
-        val key = mix(part.id.hashCode().toLong())
-        return near.maxByOrNull { mix(key xor mix(it.listed.id.value.hashCode().toLong())) }
+    /** The endpoints at which hosts place the last shared part, in order of preference. */
+    private fun homes(prompt: Prompt?, loads: Collection<EndpointLoad>): List<EndpointLoad> {
+        if (prompt == null || prompt.parts.size < 2) return emptyList()
+        val key = mix(prompt.parts[prompt.parts.size - 2].id.hashCode().toLong())
+        return loads.sortedByDescending { mix(key xor it.hash) }.take(settings.homeShares.size)
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -12,6 +12,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.routing.EndpointHealth
+import org.hemlockpond.core.routing.mix
 
 internal class EndpointLoad(
     var listed: ListedEndpoint,
@@ -21,6 +22,8 @@
 ) {
     private class Sent(val at: Duration, val predicted: Duration, val uncached: Long)
 
+    /** Places prompt parts; equal on all hosts. */
+    val hash: Long = mix(listed.id.value.hashCode().toLong())
     val health = EndpointHealth(settings.health, onProbation)
     private val unanswered = LinkedHashMap<RequestId, Sent>()
     private val parts = LinkedHashMap<String, Duration>(16, LOAD_FACTOR, true)
@@ -59,38 +62,43 @@
     }
 
     /** The time from now to the first event, or to the answer of a plain service. */
-    fun predict(prompt: Prompt?, now: Duration, likelyCached: Boolean): Duration {
+    fun predict(uncached: Long, now: Duration): Duration {
         val own = if (profile == null) {
             settings.serviceTime * (1 + running / room.toDouble())
         } else {
-            val tokens = pendingTokens + uncached(prompt, now, likelyCached)
+            val tokens = pendingTokens + uncached
             settings.firstEventBase + (tokens / settings.prefillTokensPerMilli).milliseconds
         }
         return own * slownessNow(now)
     }
 
-    /** Prompt tokens that the engine has to read. */
-    fun uncached(prompt: Prompt?, now: Duration, likelyCached: Boolean): Long {
-        if (prompt == null) return 0
-        var cached = 0L
-        for (part in prompt.parts) {
-            val used = parts[part.id]
-            if (used == null || now - used > settings.cacheMemory) {
-                // Another host has probably sent the shared part here as well.
-                if (likelyCached && part !== prompt.parts.last()) cached += part.tokens / 2
-                break
-            }
-            cached += part.tokens
+    /**
+     * Prompt tokens of the request's own part and of the shared parts that the engine has to read.
+     *
+     * @param likely the probability that another host has sent the shared parts here
+     */
+    fun uncached(prompt: Prompt?, now: Duration, likely: Double): Uncached {
+        if (prompt == null) return Uncached(0, 0)
+        var known = 0L
+        var shared = 0L
+        var cached = true
+        for (i in 0 until prompt.parts.size - 1) {
+            val part = prompt.parts[i]
+            cached = cached && knows(part, now)
+            if (cached) known += part.tokens else shared += part.tokens
         }
-        return (prompt.tokens - cached).coerceAtLeast(0)
+        val own = (prompt.tokens - known - shared).coerceAtLeast(0)
+        return Uncached(own, (shared * (1 - likely)).toLong())
     }
 
+    class Uncached(val own: Long, val shared: Long)
+
     fun knows(part: PromptPart, now: Duration): Boolean =
         parts[part.id]?.let { now - it <= settings.cacheMemory } ?: false
 
-    fun start(request: EntryRequest, predicted: Duration, now: Duration) {
+    fun start(request: EntryRequest, predicted: Duration, likely: Double, now: Duration) {
         running++
-        val tokens = uncached(request.prompt, now, likelyCached = false)
+        val tokens = uncached(request.prompt, now, likely).let { it.own + it.shared }
         pendingTokens += tokens
         unanswered[request.id] = Sent(now, predicted, tokens)
         for (part in request.prompt?.parts.orEmpty()) parts[part.id] = now
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -98,7 +98,7 @@
         val chosen = choice.choose(request, loads, entry.tried, now)
             ?: (if (entry.tried.isEmpty()) null else choice.choose(request, loads, emptySet(), now))
             ?: return false
-        chosen.load.start(request, chosen.predicted, now)
+        chosen.load.start(request, chosen.predicted, chosen.likely, now)
         entry.at = chosen.load
         entry.attempts++
         entry.answerHeld = false
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -17,8 +17,11 @@
  * @property prefillTokensPerMilli prompt tokens that an idle engine reads in a millisecond, until
  *   its answers have shown how slow it is
  * @property serviceTime the time that a plain service takes, until its answers have shown it
- * @property domainPenalty how much slower an endpoint of another failure domain counts; bytes
- *   between domains are dear
+ * @property domainPenalty how much slower an endpoint of another failure domain counts
+ * @property rereadPenalty how much slower an endpoint counts for each shared token that it has to
+ *   read although another one has it; 5,000 tokens weigh as much as 300 ms
+ * @property homeShares the probability that the endpoints that hashing gives a prompt part, in
+ *   order, have it from other hosts
  * @property cacheMemory how long a prompt part counts as cached after its last use
  * @property slownessMemory the time after which an observed slowness is forgotten, so that a
  *   recovered endpoint is tried again
@@ -44,7 +47,9 @@
     val firstEventBase: Duration = 70.milliseconds,
     val prefillTokensPerMilli: Double = 80.0,
     val serviceTime: Duration = 80.milliseconds,
-    val domainPenalty: Duration = 60.milliseconds,
+    val domainPenalty: Duration = 10.milliseconds,
+    val rereadPenalty: Duration = 0.06.milliseconds,
+    val homeShares: List<Double> = listOf(0.9, 0.4),
     val cacheMemory: Duration = 20.seconds,
     val slownessMemory: Duration = 4.seconds,
     val waitShare: Double = 0.6,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -62,6 +62,7 @@
     private val known = HashMap<CustomerId, Known>()
     private val writes = ArrayList<BudgetAction.WriteRecord>()
     private var flushing = false
+    private var reachable = true
     private var prepaid: Map<CustomerId, Long> = emptyMap()
     private val reportedDead = HashSet<RouterId>()
 
@@ -84,7 +85,11 @@
 
     fun settle(request: RequestId, used: Long) = handle(BudgetEvent.Settle(request, used))
 
-    fun storeReachable(reachable: Boolean) = handle(BudgetEvent.StoreReachable(reachable))
+    fun storeReachable(next: Boolean) {
+        if (next == reachable) return
+        reachable = next
+        handle(BudgetEvent.StoreReachable(next))
+    }
 
     fun tick() {
         handle(BudgetEvent.LeaseRenewed(clock.now()))
@@ -129,7 +134,9 @@
     private suspend fun fetch(customer: CustomerId) {
         val key = BudgetRecord.key(customer)
         calls++
-        val values = (store.read(key) as? ReadResult.Values)?.values ?: return
+        val read = store.read(key)
+        storeReachable(read is ReadResult.Values)
+        val values = (read as? ReadResult.Values)?.values ?: return
         val stored = values.firstOrNull { it.key == key }
         val record = if (stored == null) BudgetRecord() else decode(stored) ?: return
         pay(customer, stored?.revision ?: 0, record)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -88,6 +88,7 @@
     private var config: EntryConfig? = null
     private var endpointsKnown = false
     private var storeReachable = true
+    private var storeAnsweredAt = Duration.ZERO
     private var stopping = false
     private val stopped = CountDownLatch(1)
 
@@ -190,7 +191,15 @@
         }
     }
 
-    private val isReady: Boolean get() = config != null && endpointsKnown && !stopping
+    /**
+     * A host without the store has old settings and few tokens, so callers are better served by
+     * others. If most hosts are without it, the platform sends callers to all of them.
+     */
+    private val isCutOff: Boolean
+        get() = !storeReachable || clock.now().elapsed - storeAnsweredAt > settings.cutOffAfter
+
+    private val isReady: Boolean
+        get() = config != null && endpointsKnown && !stopping && !isCutOff
 
     private fun readiness(): StatusPage =
         if (isReady) StatusPage(OK, "ready\n") else StatusPage(UNAVAILABLE, "not ready\n")
@@ -307,9 +316,11 @@
             requests.crashRecorded(content, record)
 
         override fun storeAnswered(answered: Boolean, cause: String?) {
+            val now = clock.now().elapsed
+            if (answered) storeAnsweredAt = now
+            budgets.storeReachable(answered)
             if (answered == storeReachable) return
             storeReachable = answered
-            val now = clock.now().elapsed
             if (answered) {
                 log(LogEvent.STORE_REACHABLE)
                 directory.storeReturned(now)
@@ -317,12 +328,11 @@
                 log(LogEvent.STORE_UNREACHABLE, "cause" to cause)
                 directory.storeLost()
             }
-            budgets.storeReachable(answered)
         }
     }
 
     private inner class Callers : CallerListener {
-        override val closing: Boolean get() = stopping
+        override val closing: Boolean get() = stopping || isCutOff
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
         /** A caller may still go by a limit that was just replaced. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -22,6 +22,8 @@
  *   platform needs two missed questions, a second apart, to send them elsewhere
  * @property watchWait how long one call of a watch waits for changes; a silent connection is found
  *   after this time and a second
+ * @property cutOffAfter when a host that hears nothing from the store stops asking for callers; a
+ *   watch answers each [watchWait]
  * @property storeTimeout when a call to the store counts as unanswered
  * @property storePause the time between two calls to a store that doesn't answer
  * @property connectTimeout when an endpoint counts as unreachable; domains are about 1 ms apart
@@ -40,8 +42,9 @@
     val store: InetSocketAddress,
     val stopLimit: Duration = 8.seconds,
     val stopLinger: Duration = 2_500.milliseconds,
-    val watchWait: Duration = 2.seconds,
-    val storeTimeout: Duration = 1.seconds,
+    val watchWait: Duration = 1_500.milliseconds,
+    val cutOffAfter: Duration = 2_200.milliseconds,
+    val storeTimeout: Duration = 700.milliseconds,
     val storePause: Duration = 250.milliseconds,
     val connectTimeout: Duration = 300.milliseconds,
     val heldAnswerBytes: Int = 64 * 1024,
