--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
@@ -25,6 +25,7 @@
     ): Chosen? {
         val free = loads.filter { it.listed.id !in avoid && it.hasRoom(now) }
         val homes = homes(request.prompt, loads)
+        val timely = (request.goalEnd - now).coerceAtLeast(Duration.ZERO) * settings.timelyShare
         var best: Chosen? = null
         var bestCost = Duration.INFINITE
         for (load in free) {
@@ -33,7 +34,9 @@
             val uncached = load.uncached(request.prompt, now, likely)
             val predicted = load.predict(uncached.own + uncached.shared, now)
             val far = if (load.listed.domain == domain) Duration.ZERO else settings.domainPenalty
-            val cost = predicted + settings.rereadPenalty * uncached.shared.toDouble() + far
+            val late = (predicted - timely).coerceAtLeast(Duration.ZERO) * settings.lateWeight
+            val reread = settings.rereadPenalty * uncached.shared.toDouble()
+            val cost = predicted + late + reread + far
             if (cost < bestCost) {
                 best = Chosen(load, predicted, likely)
                 bestCost = cost
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -20,6 +20,9 @@
  * @property domainPenalty how much slower an endpoint of another failure domain counts
  * @property rereadPenalty how much slower an endpoint counts for each shared token that it has to
  *   read although another one has it; 5,000 tokens weigh as much as 300 ms
+ * @property timelyShare the part of the time to the goal up to which a prediction counts as on time;
+ *   other hosts' requests arrive unseen
+ * @property lateWeight how much more the time beyond that counts
  * @property homeShares the probability that the endpoints that hashing gives a prompt part, in
  *   order, have it from other hosts
  * @property cacheMemory how long a prompt part counts as cached after its last use
@@ -49,6 +52,8 @@
     val serviceTime: Duration = 80.milliseconds,
     val domainPenalty: Duration = 10.milliseconds,
     val rereadPenalty: Duration = 0.06.milliseconds,
+    val timelyShare: Double = 0.6,
+    val lateWeight: Double = 3.0,
     val homeShares: List<Double> = listOf(0.9, 0.4),
     val cacheMemory: Duration = 20.seconds,
     val slownessMemory: Duration = 4.seconds,
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBed.kt
@@ -0,0 +1,126 @@
+package org.hemlockpond.core.entry
+
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.EndpointId
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouteId
+import org.hemlockpond.core.VersionId
+
+/** A dispatcher in paused time, with what it did. */
+internal class EntryBed(
+    settings: EntrySettings = EntrySettings(),
+    domain: String = "a",
+    engine: EngineProfile? = null
+) {
+    val service = ServiceId("registry")
+    val dispatcher = EntryDispatcher(FailureDomain(domain), settings, Random(1))
+    val done = ArrayList<EntryAction>()
+    var now: Duration = 10.seconds
+    private var next = 0
+
+    init {
+        dispatcher.configChanged(
+            EntryConfig(
+                version = 1,
+                routes = emptyList(),
+                services = listOf(EntryService(service, "/health", 100, engine)),
+                limits = CallerLimits(16_384, 1_000_000, 3.seconds, 15.seconds),
+                customers = emptyList()
+            )
+        )
+    }
+
+    fun endpoint(name: String, domain: String = "a", slots: Int = 6, leaving: Boolean = false) =
+        ListedEndpoint(
+            id = EndpointId(name),
+            service = service,
+            host = "127.0.0.1",
+            port = 1_000 + name.hashCode() % 100,
+            domain = FailureDomain(domain),
+            version = VersionId("v1"),
+            slots = slots,
+            leaving = leaving,
+            startedMillis = 1
+        )
+
+    fun add(vararg names: String, domain: String = "a") = names.forEach {
+        val added = DirectoryChange.Added(endpoint(it, domain))
+        take(dispatcher.endpointsChanged(listOf(added), now))
+    }
+
+    fun remove(name: String) {
+        val removed = DirectoryChange.Removed(EndpointId(name), "test")
+        take(dispatcher.endpointsChanged(listOf(removed), now))
+    }
+
+    fun request(
+        repetition: Repetition = Repetition.SAFE,
+        prompt: Prompt? = null,
+        rank: Int = 2,
+        maxAttempts: Int = 2,
+        timeout: Duration = 4.seconds,
+        goal: Duration = 400.milliseconds,
+        content: Long = next + 100L
+    ): EntryRequest {
+        val route = EntryRoute(
+            id = RouteId("route"),
+            host = "host",
+            pathPrefix = "/",
+            streaming = repetition == Repetition.RESUMABLE,
+            repetition = repetition,
+            timeout = timeout,
+            goal = goal,
+            rank = rank,
+            targets = listOf(RouteTarget(service, 1)),
+            maxAttempts = maxAttempts,
+            anonymous = true
+        )
+        return EntryRequest(
+            id = RequestId("request-${next++}"),
+            route = route,
+            service = service,
+            customer = CustomerId("workshop"),
+            rank = rank,
+            prompt = prompt,
+            arrival = now,
+            deadline = now + timeout,
+            contentDigest = content
+        )
+    }
+
+    fun submit(request: EntryRequest): EntryRequest {
+        take(dispatcher.submit(request, now))
+        return request
+    }
+
+    fun ended(request: EntryRequest, end: AttemptEnd, repeatable: Boolean = true) =
+        take(dispatcher.ended(request.id, end, now, repeatable))
+
+    fun answered(request: EntryRequest, status: Int = 200) {
+        dispatcher.answered(request.id, now)
+        ended(request, AttemptEnd.Answered(status))
+    }
+
+    fun advance(by: Duration) {
+        val end = now + by
+        while (now < end) {
+            now = minOf(end, now + 25.milliseconds)
+            take(dispatcher.tick(now))
+        }
+    }
+
+    private fun take(actions: List<EntryAction>) {
+        done += actions
+    }
+
+    fun sends(request: EntryRequest): List<String> =
+        done.filterIsInstance<EntryAction.Send>().filter { it.request === request }
+            .map { it.endpoint.id.value }
+
+    fun last(request: EntryRequest): EntryAction? = done.lastOrNull { it.request === request }
+}
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
@@ -0,0 +1,172 @@
+package org.hemlockpond.core.entry
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertIs
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.ErrorKind
+
+class EntryDispatcherTest {
+    private val bed = EntryBed()
+
+    /** Guards against a second run of a request that may have run. */
+    @Test
+    fun unsafeRequestIsNeverSentAgainOnceItMayHaveRun() {
+        bed.add("e1", "e2")
+        val request = bed.submit(bed.request(Repetition.UNSAFE))
+        bed.ended(request, AttemptEnd.Broken("reset", crash = true))
+        assertEquals(1, bed.sends(request).size)
+        assertIs<EntryAction.Fail>(bed.last(request))
+    }
+
+    /** Guards against a refusal that says "not run" of a request that may have run. */
+    @Test
+    fun requestThatMayHaveRunIsFailedNotRefused() {
+        bed.add("e1")
+        val request = bed.submit(bed.request(maxAttempts = 3))
+        bed.remove("e1")
+        bed.ended(request, AttemptEnd.Broken("reset", crash = true))
+        bed.advance(4.seconds)
+        assertIs<EntryAction.Fail>(bed.last(request))
+        assertTrue(bed.done.none { it is EntryAction.Refuse })
+    }
+
+    /** Guards against giving up an unsafe request that the endpoint refused without running it. */
+    @Test
+    fun unsafeRequestGoesElsewhereIfTheEndpointSaysThatItDidNotRun() {
+        bed.add("e1", "e2")
+        val request = bed.submit(bed.request(Repetition.UNSAFE))
+        bed.ended(request, AttemptEnd.NotRun(misdirected = false))
+        assertEquals(2, bed.sends(request).toSet().size)
+    }
+
+    /** Guards against more runs than the route allows. */
+    @Test
+    fun safeRequestRunsAtMostAsOftenAsItsRouteAllows() {
+        bed.add("e1", "e2", "e3", "e4")
+        val request = bed.submit(bed.request(maxAttempts = 2))
+        bed.answered(request, 500)
+        bed.answered(request, 500)
+        assertEquals(2, bed.sends(request).size)
+        assertIs<EntryAction.Deliver>(bed.last(request))
+    }
+
+    /** Guards against retries that multiply the load: they stay within a part of the requests. */
+    @Test
+    fun retriesStayWithinTheBudget() {
+        bed.add("e1", "e2", "e3", "e4")
+        repeat(200) {
+            val request = bed.submit(bed.request())
+            bed.answered(request, 500)
+            if (bed.last(request) is EntryAction.Send) bed.answered(request, 500)
+            bed.now += 10.milliseconds
+        }
+        val retries = bed.done.filterIsInstance<EntryAction.Send>().count { it.attempt > 1 }
+        assertTrue(retries in 20..33, "$retries retries of 200 requests")
+    }
+
+    /** Guards against a stream that is begun again after its events have been passed on. */
+    @Test
+    fun answerThatIsPartlyPassedOnIsNotRepeated() {
+        bed.add("e1", "e2")
+        val request = bed.submit(bed.request())
+        bed.ended(request, AttemptEnd.Broken("reset", crash = false), repeatable = false)
+        assertEquals(1, bed.sends(request).size)
+        assertIs<EntryAction.Fail>(bed.last(request))
+    }
+
+    /** Guards against waiting for the deadline when no endpoint comes. */
+    @Test
+    fun requestWithoutEndpointIsRefusedSoonAndSentIfOneComes() {
+        val refused = bed.submit(bed.request())
+        bed.advance(EntrySettings().emptyWait + 50.milliseconds)
+        val refusal = assertIs<EntryAction.Refuse>(bed.last(refused))
+        assertEquals(ErrorKind.NO_ENDPOINT, refusal.kind)
+        val sent = bed.submit(bed.request())
+        bed.advance(200.milliseconds)
+        bed.add("e1")
+        assertEquals(listOf("e1"), bed.sends(sent))
+    }
+
+    /** Guards against new work at an endpoint that has left the list. */
+    @Test
+    fun endpointThatLeftGetsNothingNewAndKeepsWhatItHas() {
+        bed.add("e1", "e2")
+        val running = List(4) { bed.submit(bed.request()) }
+        bed.remove("e1")
+        val later = List(4) { bed.submit(bed.request()) }
+        assertTrue(later.all { bed.sends(it) == listOf("e2") })
+        running.forEach { bed.answered(it) }
+        assertTrue(running.all { bed.last(it) is EntryAction.Deliver })
+    }
+
+    /** Guards against requests that wait for an endpoint that has gone silent. */
+    @Test
+    fun repeatableRequestLeavesASilentEndpointAndAnUnsafeOneStays() {
+        bed.add("e1")
+        val safe = bed.submit(bed.request())
+        val unsafe = bed.submit(bed.request(Repetition.UNSAFE))
+        bed.add("e2")
+        bed.advance(1_500.milliseconds)
+        assertTrue(bed.done.any { it is EntryAction.Abandon && it.request === safe })
+        assertFalse(bed.done.any { it is EntryAction.Abandon && it.request === unsafe })
+        val next = bed.submit(bed.request())
+        assertEquals(listOf("e2"), bed.sends(next))
+    }
+
+    /** Guards against one request that crashes one endpoint after the other. */
+    @Test
+    fun contentThatCrashedTwoEndpointsIsRefused() {
+        bed.add("e1", "e2", "e3", "e4")
+        val first = bed.submit(bed.request(content = 7, maxAttempts = 4))
+        bed.ended(first, AttemptEnd.Broken("reset", crash = true))
+        bed.ended(first, AttemptEnd.Broken("reset", crash = true))
+        assertEquals(2, bed.sends(first).size)
+        val again = bed.submit(bed.request(content = 7))
+        assertEquals(ErrorKind.SUSPECT_REQUEST, assertIs<EntryAction.Refuse>(bed.last(again)).kind)
+        assertEquals(emptyList(), bed.sends(again))
+    }
+
+    /** Guards against crashes that only other hosts have seen. */
+    @Test
+    fun crashesThatOtherHostsRecordedCount() {
+        bed.add("e1")
+        bed.dispatcher.crashesRecorded(content = 7, crashes = 2)
+        val request = bed.submit(bed.request(content = 7))
+        assertIs<EntryAction.Refuse>(bed.last(request))
+    }
+
+    /** Guards against a burst in which requests that are late push out those that aren't. */
+    @Test
+    fun waitingRequestsGoByGoalThenRankThenArrival() {
+        bed.add("e1")
+        val running = List(6) { bed.submit(bed.request()) }
+        val low = bed.submit(bed.request(rank = 3, goal = 2.seconds))
+        val high = bed.submit(bed.request(rank = 0, goal = 2.seconds))
+        val late = bed.submit(bed.request(rank = 0, goal = 100.milliseconds))
+        assertNull(bed.last(low))
+        bed.now += 150.milliseconds
+        bed.answered(running[0])
+        assertEquals(listOf("e1"), bed.sends(high))
+        assertNull(bed.last(low))
+        bed.answered(running[1])
+        assertEquals(listOf("e1"), bed.sends(low))
+        assertNull(bed.last(late))
+        bed.answered(running[2])
+        assertEquals(listOf("e1"), bed.sends(late))
+    }
+
+    /** Guards against callers that all come back at the same time. */
+    @Test
+    fun refusedCallersAreSentBackAtDifferentTimes() {
+        val requests = List(50) { bed.submit(bed.request()) }
+        bed.advance(2.seconds)
+        val after = requests.map { assertIs<EntryAction.Refuse>(bed.last(it)).retryAfter }
+        assertTrue(after.toSet().size > 40)
+        assertTrue(after.all { it in 300.milliseconds..800.milliseconds })
+    }
+}
