--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -137,7 +137,6 @@
         return 1 + (slowness - 1) * exp(-age)
     }
 
-
     private companion object {
         const val LOAD_FACTOR = 0.75f
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -92,7 +92,11 @@
         if (!send(service, entry, now)) wait(service, entry, now)
     }
 
-    private fun MutableList<EntryAction>.send(service: Service, entry: Open, now: Duration): Boolean {
+    private fun MutableList<EntryAction>.send(
+        service: Service,
+        entry: Open,
+        now: Duration
+    ): Boolean {
         val request = entry.request
         val loads = service.loads.values
         val chosen = choice.choose(request, loads, entry.tried, now)
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointChoiceTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointChoiceTest.kt
@@ -26,7 +26,8 @@
     )
 
     private fun EntryBed.run(subject: Int, own: Int): String {
-        val request = submit(request(Repetition.UNSAFE, prompt(subject, own), goal = 800.milliseconds))
+        val request =
+            submit(request(Repetition.UNSAFE, prompt(subject, own), goal = 800.milliseconds))
         now += 120.milliseconds
         answered(request)
         return sends(request).single()
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -57,7 +57,11 @@
     ENTRY_REFUSED(1803, Level.INFO, "request refused before it was accepted"),
     ENTRY_ATTEMPT_FAILED(1804, Level.INFO, "attempt failed"),
     ENDPOINT_CHANGED(1805, Level.INFO, "endpoint list changed"),
-    ENDPOINT_ENTRY_INVALID(1806, Level.WARN, "an endpoint entry can't be read; it names no endpoint"),
+    ENDPOINT_ENTRY_INVALID(
+        1806,
+        Level.WARN,
+        "an endpoint entry can't be read; it names no endpoint"
+    ),
     PAYMENT_ENTERED(1807, Level.INFO, "a payment was entered in a budget"),
     CRASH_RECORDED(1808, Level.WARN, "content under which an endpoint crashed was recorded"),
     SETTINGS_RELOADED(1809, Level.INFO, "settings file read again"),
--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -47,7 +47,6 @@
 import org.hemlockpond.core.routing.RoutingSettings
 import org.hemlockpond.core.routing.StreamSettings
 import org.hemlockpond.core.routing.StreamWindow
-import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.router.caller.CallerServer
 import org.hemlockpond.router.caller.CallerService
 import org.hemlockpond.router.caller.HttpAnswerWriter
@@ -62,6 +61,7 @@
 import org.hemlockpond.router.store.StoreWorker
 import org.hemlockpond.settings.RouterSecrets
 import org.hemlockpond.settings.RouterSettings
+import org.hemlockpond.store.EtcdStore
 
 /** @param exit ends the process; called when the router is fenced */
 internal class Router(
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -45,7 +45,12 @@
      *
      * @param arrival when its head was read
      */
-    fun received(connection: CallerConnection, request: HttpRequest, body: ByteBuf, arrival: Duration)
+    fun received(
+        connection: CallerConnection,
+        request: HttpRequest,
+        body: ByteBuf,
+        arrival: Duration
+    )
 
     /** The caller closed the connection; the request under way, if any, is given up. */
     fun gone(connection: CallerConnection)
@@ -74,7 +79,6 @@
     private var closing = false
     private var lastUse = Duration.ZERO
 
-
     /** The exchange that uses the connection; set by the listener. */
     var exchange: EntryExchange? = null
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -37,10 +37,8 @@
     fun broken(cause: String, crash: Boolean)
 }
 
-internal class EndpointConnection(
-    private val dialect: EntryDialect,
-    private val owner: Owner
-) : ChannelInboundHandlerAdapter() {
+internal class EndpointConnection(private val dialect: EntryDialect, private val owner: Owner) :
+    ChannelInboundHandlerAdapter() {
     interface Owner {
         /** The connection may carry another request, for at most [idleLimit] if that is known. */
         fun idle(connection: EndpointConnection, idleLimit: Duration?)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointPool.kt
@@ -22,11 +22,7 @@
     private val clock: RouterClock,
     private val settings: EntryRouterSettings
 ) {
-    private class Idle(
-        val connection: EndpointConnection,
-        val since: Duration,
-        val until: Duration
-    )
+    private class Idle(val connection: EndpointConnection, val since: Duration, val until: Duration)
 
     private val idle = HashMap<InetSocketAddress, ArrayDeque<Idle>>()
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -102,12 +102,18 @@
         for (action in holder.handle(event, clock.now())) {
             when (action) {
                 is BudgetAction.Reserved -> listener.reserved(action.request)
+
                 is BudgetAction.Refused -> listener.refused(action.request, action.kind)
+
                 is BudgetAction.ReadRecord -> read(action.customer)
+
                 is BudgetAction.WriteRecord -> write(action)
+
                 // Entry routers have no peers: they share tokens through the record alone.
                 is BudgetAction.SendToPeer -> Unit
+
                 BudgetAction.Fenced -> listener.fenced()
+
                 BudgetAction.Drained -> listener.drained()
             }
         }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -230,10 +230,7 @@
         }
     }
 
-    private fun message(
-        exchange: EntryExchange,
-        action: EntryAction.Send
-    ): DefaultFullHttpRequest {
+    private fun message(exchange: EntryExchange, action: EntryAction.Send): DefaultFullHttpRequest {
         val http = exchange.http
         val request = exchange.request
         val head = SendHead(
@@ -258,8 +255,7 @@
         )
     }
 
-    override fun heard(exchange: EntryExchange) =
-        dispatcher.heard(exchange.request.id, now())
+    override fun heard(exchange: EntryExchange) = dispatcher.heard(exchange.request.id, now())
 
     override fun answering(exchange: EntryExchange) {
         val now = now()
@@ -324,12 +320,7 @@
         return prompt.tokens + minOf(prompt.maxAnswerTokens, exchange.events * perEvent)
     }
 
-    private fun logEnd(
-        exchange: EntryExchange,
-        outcome: String,
-        kind: ErrorKind?,
-        tokens: Long
-    ) {
+    private fun logEnd(exchange: EntryExchange, outcome: String, kind: ErrorKind?, tokens: Long) {
         val request = exchange.request
         val total = now() - request.arrival
         val customer = request.customer ?: NO_CUSTOMER
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/StatusServer.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/StatusServer.kt
@@ -15,8 +15,8 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
-import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpObject
+import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpServerCodec
 import io.netty.handler.codec.http.HttpUtil
--- a/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/LeaseKeeper.kt
@@ -14,13 +14,13 @@
 import org.hemlockpond.core.Now
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.membership.Member
+import org.hemlockpond.router.RouterClock
 import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
-import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.WriteResult
-import org.hemlockpond.router.RouterClock
 
 /** What the leases report; called on their own threads. */
 internal interface LeaseListener {
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWatch.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWatch.kt
@@ -15,11 +15,11 @@
 import org.hemlockpond.core.RouteId
 import org.hemlockpond.core.configuration.ConfigEntry
 import org.hemlockpond.core.configuration.ConfigState
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.log
 import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.StoreChange
-import org.hemlockpond.router.LogEvent
-import org.hemlockpond.router.log
 
 /** What the watch delivers; called on its own threads. */
 internal interface WatchListener {
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -33,16 +33,16 @@
 import org.hemlockpond.core.moves.MoveAction
 import org.hemlockpond.core.moves.MoveEvent
 import org.hemlockpond.core.moves.MoveRecord
+import org.hemlockpond.router.Decisions
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
-import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.WriteResult
-import org.hemlockpond.router.Decisions
-import org.hemlockpond.router.LogEvent
-import org.hemlockpond.router.RouterClock
-import org.hemlockpond.router.log
 
 /**
  * The spend that a router committed while it had no copy peer, under `hemlockpond/spend/{router}`.
@@ -94,7 +94,8 @@
 
     fun writeBudget(action: BudgetAction.WriteRecord) = scope.launch {
         val value = json.encodeToString(BudgetRecord.serializer(), action.record)
-        val write = ConditionalWrite(BudgetRecord.key(action.customer), action.expectedRevision, value)
+        val write =
+            ConditionalWrite(BudgetRecord.key(action.customer), action.expectedRevision, value)
         val result = client.commit(listOf(write))
         seen(result.answered)
         val outcome = when (result) {
@@ -279,7 +280,6 @@
         /** One lease serves the records of a day, so each record lasts 7 days at least. */
         private val RUN_LEASE_USE = 1.days
 
-
         fun runKey(request: RequestId): String = "hemlockpond/runs/$request"
 
         fun spendKey(router: RouterId): String = "hemlockpond/spend/$router"
--- a/store/src/main/kotlin/org/hemlockpond/store/EtcdStore.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/EtcdStore.kt
@@ -21,10 +21,8 @@
  * @param addresses the store's addresses, tried in turn
  * @param timeout how long one call may take before it counts as failed
  */
-class EtcdStore(
-    private val addresses: List<InetSocketAddress>,
-    timeout: Duration = 2.seconds
-) : KeyValueStore {
+class EtcdStore(private val addresses: List<InetSocketAddress>, timeout: Duration = 2.seconds) :
+    KeyValueStore {
     private val http = JsonHttpClient(timeout)
     private val current = AtomicInteger(0)
 
--- a/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
@@ -72,25 +72,24 @@
         path: String,
         body: String = "",
         limit: Duration = timeout
-    ): HttpResult =
-        suspendCancellableCoroutine { continuation ->
-            val handler = AnswerHandler(continuation)
-            val connected = bootstrap {
-                addLast(ReadTimeoutHandler(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS))
-                addLast(HttpClientCodec())
-                addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
-                addLast(handler)
-            }.connect(address)
-            connected.addListener {
-                if (!it.isSuccess) {
-                    handler.finish(HttpResult.Failed(describe(it.cause()), sent = false))
-                } else {
-                    handler.sent = true
-                    connected.channel().writeAndFlush(request(address, method, path, body))
-                }
+    ): HttpResult = suspendCancellableCoroutine { continuation ->
+        val handler = AnswerHandler(continuation)
+        val connected = bootstrap {
+            addLast(ReadTimeoutHandler(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS))
+            addLast(HttpClientCodec())
+            addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
+            addLast(handler)
+        }.connect(address)
+        connected.addListener {
+            if (!it.isSuccess) {
+                handler.finish(HttpResult.Failed(describe(it.cause()), sent = false))
+            } else {
+                handler.sent = true
+                connected.channel().writeAndFlush(request(address, method, path, body))
             }
-            continuation.invokeOnCancellation { connected.channel().close() }
         }
+        continuation.invokeOnCancellation { connected.channel().close() }
+    }
 
     /** Emits each JSON object of the answer as text; ends when the connection does. */
     fun stream(address: InetSocketAddress, path: String, body: String): Flow<String> =
