Bound what an entry host holds of a budget

Cause: the first host that drew on a budget kept up to a third of it, because its share was computed against the demand of hosts that hadn't drawn yet, and a kill of all hosts lost it. Ruled out: slow return of idle slices alone; the slice was held from the first second on.

--- a/cli/src/main/kotlin/org/hemlockpond/cli/Applier.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Applier.kt
@@ -7,9 +7,9 @@
 import org.hemlockpond.core.Contract
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.budget.BudgetRecord
-import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.settings.ConfigKeys
 import org.hemlockpond.settings.Declarations
+import org.hemlockpond.store.ConditionalWrite
 
 /** etcd takes at most 128 operations and 1.5 MiB in one transaction by default. */
 internal const val MAX_TRANSACTION_WRITES = 100
--- a/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/BudgetCommand.kt
@@ -107,7 +107,9 @@
 }
 
 internal fun contradiction(customer: CustomerId, result: PaymentResult.Contradicted): String =
-    "conflict on ${BudgetRecord.key(customer)}: payment ${result.id} is there with ${result.stored} tokens"
+    "conflict on ${BudgetRecord.key(
+        customer
+    )}: payment ${result.id} is there with ${result.stored} tokens"
 
 private operator fun JsonObject.plus(other: JsonObject) =
     JsonObject(this as Map<String, kotlinx.serialization.json.JsonElement> + other)
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
@@ -18,9 +18,9 @@
 import org.hemlockpond.core.moves.RollbackCause
 import org.hemlockpond.core.moves.rollBack
 import org.hemlockpond.core.moves.startMove
+import org.hemlockpond.settings.ConfigKeys
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.StoredValue
-import org.hemlockpond.settings.ConfigKeys
 
 /** The prefix of all move records. */
 internal const val MOVES_PREFIX = "hemlockpond/moves/"
--- a/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/RouterCommands.kt
@@ -12,9 +12,9 @@
 import java.net.URI
 import java.nio.file.Files
 import java.nio.file.Path
-import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.settings.ConfigKeys
 import org.hemlockpond.settings.SocketAddress
+import org.hemlockpond.store.ConditionalWrite
 
 internal class StatusCommand(environment: Environment) :
     RemoteCommand(environment, "status", "Shows the status of a router.") {
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -84,6 +84,7 @@
         }
         val account = account(event.customer)
         if (account.waiting.any { it.request == event.request }) return
+        account.lastNeed = event.tokens
         // Without store and peers no tokens can come.
         val hopeless = !storeReachable && placement.peers == 0
         val wait = if (hopeless) Duration.ZERO else settings.grantWait
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -20,6 +20,9 @@
  * @property reportInterval the shortest time between two periodic reports of one failure domain
  * @property idleReportInterval the longest time that changed spend stays unreported
  * @property placedShare share of the remaining tokens that is granted ahead of use
+ * @property holderShare the most of the remaining tokens that one holder keeps ahead of use
+ * @property holdSpan the longest span of its own demand that a holder keeps ahead of use
+ * @property holdRequests requests of the last size that a holder may keep ahead of use in any case
  * @property demandSpan time constant of the demand average
  * @property endHorizon when the remaining tokens cover less than this span of the demand of all
  *   holders, grants shrink to [endSpan] of demand and the rest stays in the record
@@ -41,6 +44,9 @@
     val reportInterval: Duration = 10.seconds,
     val idleReportInterval: Duration = 1.minutes,
     val placedShare: Double = 0.95,
+    val holderShare: Double = 1.0,
+    val holdSpan: Duration = Duration.INFINITE,
+    val holdRequests: Double = 0.0,
     val demandSpan: Duration = 2.minutes,
     val endHorizon: Duration = 1.minutes,
     val endSpan: Duration = 1.seconds,
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
@@ -40,7 +40,16 @@
             share = minOf(share, 1.0 / (peers + 1))
         }
         val remaining = account.remaining + account.reserved
-        return maxOf(account.reserved, (remaining * settings.placedShare * share).toLong())
+        val demand = maxOf(
+            account.demand.rate(now) * seconds(settings.holdSpan),
+            account.lastNeed * settings.holdRequests
+        )
+        val ahead = minOf(
+            remaining * settings.placedShare * share,
+            remaining * settings.holderShare,
+            account.reserved + demand
+        )
+        return maxOf(account.reserved, ahead.toLong())
     }
 
     /** Few tokens are left for the measured demand. */
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetTest.kt
@@ -0,0 +1,221 @@
+package org.hemlockpond.core.entry
+
+import java.util.PriorityQueue
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.budget.BudgetAction
+import org.hemlockpond.core.budget.BudgetEvent
+import org.hemlockpond.core.budget.BudgetHolder
+import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.core.budget.BudgetSettings
+import org.hemlockpond.core.budget.WriteOutcome
+
+/**
+ * Replays the load of a day in virtual time: eight hosts without peers, one customer, a store that
+ * answers after 4 ms, requests of very different sizes.
+ */
+class EntryBudgetTest {
+    private class Host(val holder: BudgetHolder, val id: RouterId) {
+        var connected = true
+        var alive = true
+    }
+
+    private class World(val paid: Long, settings: BudgetSettings, hosts: Int = 8) {
+        private class Task(val at: Double, val order: Int, val run: () -> Unit)
+
+        private val tasks = PriorityQueue<Task>(compareBy({ it.at }, { it.order }))
+        private val random = Random(5)
+        private val customer = CustomerId("c")
+        private var record = BudgetRecord(payments = mapOf("p" to paid))
+        private var revision = 1L
+        private var order = 0
+        private var requests = 0
+        private val open = HashMap<RequestId, Pair<Host, Long>>()
+        var time = 0.0
+        var used = 0L
+        var calls = 0
+        val refusals = ArrayList<Pair<Double, ErrorKind>>()
+
+        /** What was used when each request was refused. */
+        val usedAtRefusal = ArrayList<Long>()
+        var served = 0
+        private val settings = settings
+        val hosts = MutableList(hosts) { host(it, 0) }
+
+        init {
+            tick()
+        }
+
+        private fun host(number: Int, run: Int): Host {
+            val id = RouterId("h$number/$run")
+            val holder = BudgetHolder(id, FailureDomain("d${number % 3}"), settings)
+            return Host(holder, id).also { handle(it, BudgetEvent.LeaseRenewed(now())) }
+        }
+
+        private fun now() = Now(time.milliseconds, Instant.fromEpochMilliseconds(time.toLong()))
+
+        private fun at(delay: Double, run: () -> Unit) {
+            tasks += Task(time + delay, order++, run)
+        }
+
+        private fun tick() {
+            for (host in hosts) if (host.alive) handle(host, BudgetEvent.Tick)
+            at(TICK) { tick() }
+        }
+
+        fun runTo(end: Double) {
+            while (tasks.isNotEmpty() && tasks.peek().at <= end) {
+                val task = tasks.poll()
+                time = task.at
+                task.run()
+            }
+            time = end
+        }
+
+        fun traffic(perSecond: Double, from: Double, to: Double) {
+            at(from - time) { request(perSecond, to) }
+        }
+
+        private fun request(perSecond: Double, to: Double) {
+            if (time >= to) return
+            val host = hosts[random.nextInt(hosts.size)]
+            val prompt = (
+                3_000 + 9_000 * -ln(
+                    1 - random.nextDouble()
+                )
+                ).toLong().coerceAtMost(60_000)
+            if (host.alive) {
+                val id = RequestId("r${requests++}")
+                open[id] = host to prompt
+                handle(host, BudgetEvent.Reserve(id, customer, prompt + MOST_ANSWER))
+            }
+            at(-ln(1 - random.nextDouble()) * 1_000 / perSecond) { request(perSecond, to) }
+        }
+
+        fun cut(host: Host, connected: Boolean) {
+            host.connected = connected
+            handle(host, BudgetEvent.StoreReachable(connected))
+        }
+
+        fun restart(number: Int) {
+            hosts[number].alive = false
+            hosts[number] = host(number, 1)
+            handle(hosts[number], BudgetEvent.RouterDied(RouterId("h$number/0"), null))
+        }
+
+        private fun handle(host: Host, event: BudgetEvent) {
+            if (!host.alive) return
+            handle(host, host.holder.handle(event, now()))
+        }
+
+        private fun handle(host: Host, actions: List<BudgetAction>) {
+            for (action in actions) {
+                when (action) {
+                    is BudgetAction.Reserved -> run(host, action.request)
+
+                    is BudgetAction.Refused -> {
+                        refusals += time to action.kind
+                        usedAtRefusal += used
+                        open -= action.request
+                    }
+
+                    is BudgetAction.ReadRecord -> call(host) {
+                        handle(host, BudgetEvent.RecordRead(customer, revision, record))
+                    }
+
+                    is BudgetAction.WriteRecord -> call(host) { write(host, action) }
+
+                    else -> Unit
+                }
+            }
+        }
+
+        private fun call(host: Host, answer: () -> Unit) {
+            calls++
+            if (host.connected) at(STORE_MILLIS) { answer() }
+        }
+
+        private fun write(host: Host, action: BudgetAction.WriteRecord) {
+            val outcome = if (action.expectedRevision == revision) {
+                record = action.record
+                revision++
+                WriteOutcome.Applied(revision)
+            } else {
+                WriteOutcome.Conflict
+            }
+            handle(host, BudgetEvent.RecordWritten(customer, action.sequence, outcome))
+        }
+
+        private fun run(host: Host, id: RequestId) {
+            val prompt = open.getValue(id).second
+            at(2_000.0) {
+                val tokens = prompt + MOST_ANSWER / 3
+                used += tokens
+                served++
+                open -= id
+                handle(host, BudgetEvent.Settle(id, tokens))
+            }
+        }
+
+        companion object {
+            const val TICK = 25.0
+            const val STORE_MILLIS = 4.0
+            const val MOST_ANSWER = 1_000L
+        }
+    }
+
+    /** Guards against refusals while most of the budget lies unused in other hosts' slices. */
+    @Test
+    fun nearlyTheWholeBudgetIsUsedBeforeTheFirstRefusal() {
+        val world = World(paid = 2_000_000, settings = entryBudgetSettings)
+        world.traffic(perSecond = 6.0, from = 0.0, to = 60_000.0)
+        world.runTo(60_000.0)
+        val early = world.usedAtRefusal.count { it < 0.9 * world.paid }
+        assertTrue(early <= 1, "$early refusals before 90% was used; ${describe(world)}")
+        assertTrue(world.used >= 0.97 * world.paid, describe(world))
+    }
+
+    private fun describe(world: World) = "served ${world.served}, refused ${world.refusals.size} " +
+        "from ${world.refusals.firstOrNull()}, used ${world.used} of ${world.paid}, " +
+        "${world.calls} store calls; ${world.refusals.groupingBy { it.second }.eachCount()}"
+
+    /** Guards against a budget of which kills of all hosts take more than they held. */
+    @Test
+    fun killOfAllHostsCostsAThirdOfWhatRemainsAtMost() {
+        val world = World(paid = 2_000_000, settings = entryBudgetSettings)
+        world.traffic(perSecond = 4.0, from = 0.0, to = 60_000.0)
+        world.runTo(10_000.0)
+        val usedThen = world.used
+        world.hosts.indices.forEach { world.restart(it) }
+        world.runTo(62_000.0)
+        val lost = world.paid - world.used
+        assertTrue(lost <= 0.4 * (world.paid - usedThen), describe(world))
+    }
+
+    /** Guards against a host that is cut off from the store and refuses everything at once. */
+    @Test
+    fun hostWithoutStoreServesFromItsSlice() {
+        val world = World(paid = 4_000_000, settings = entryBudgetSettings)
+        world.traffic(perSecond = 4.0, from = 0.0, to = 20_000.0)
+        world.runTo(8_000.0)
+        world.hosts.forEach { world.cut(it, connected = false) }
+        val before = world.refusals.size
+        world.runTo(11_000.0)
+        val refused = world.refusals.size - before
+        assertTrue(refused <= 4, "$refused refused of about 12; ${describe(world)}")
+        world.hosts.forEach { world.cut(it, connected = true) }
+        world.runTo(22_000.0)
+        val late = world.refusals.count { it.first > 11_200 }
+        assertTrue(late == 0, describe(world))
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -10,6 +10,7 @@
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.budget.BudgetSettings
 import org.hemlockpond.core.entry.EntrySettings
+import org.hemlockpond.core.entry.entryBudgetSettings
 
 /**
  * @property host the name of this host; a restarted process has the same one
@@ -52,17 +53,5 @@
     val idleMargin: Duration = 400.milliseconds,
     val tick: Duration = 25.milliseconds,
     val entry: EntrySettings = EntrySettings(),
-    val budget: BudgetSettings = BudgetSettings(
-        grantWait = 1.seconds,
-        grantSpan = 1.seconds,
-        lowSpan = 300.milliseconds,
-        reportInterval = 1.seconds,
-        idleReportInterval = 3.seconds,
-        placedShare = 0.3,
-        demandSpan = 8.seconds,
-        endHorizon = 3.seconds,
-        endSpan = 200.milliseconds,
-        knownFor = 300.milliseconds,
-        copylessDelay = Duration.ZERO
-    )
+    val budget: BudgetSettings = entryBudgetSettings
 )
--- a/standins/src/test/kotlin/org/hemlockpond/standins/EtcdStoreTest.kt
+++ b/standins/src/test/kotlin/org/hemlockpond/standins/EtcdStoreTest.kt
@@ -13,9 +13,9 @@
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.runBlocking
 import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
-import org.hemlockpond.store.EtcdStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.WriteResult
 
