--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -90,6 +90,9 @@
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
     private var stopping = false
+
+    @Volatile
+    private var stopLimit = settings.stopLimit
     private val stopped = CountDownLatch(1)
 
     /** Binds all addresses and starts following the store. */
@@ -179,18 +182,18 @@
     }
 
     /**
-     * The settings file changed. Addresses can't change while the router runs; [read] returns the
-     * errors of the new file.
+     * Takes over what can change while the router runs: the time to stop. Addresses take effect at
+     * the next start.
      */
-    fun settingsChanged(read: () -> List<String>) {
-        val errors = read()
-        if (errors.isEmpty()) {
-            log(LogEvent.SETTINGS_RELOADED)
-        } else {
-            log(LogEvent.SETTINGS_REFUSED, "errors" to errors.joinToString("; "))
-        }
+    fun reload(next: EntryRouterSettings) {
+        stopLimit = next.stopLimit
+        log(LogEvent.SETTINGS_RELOADED, "stop limit" to next.stopLimit)
     }
 
+    /** The changed settings file has [errors] and is ignored. */
+    fun reloadRefused(errors: List<String>) =
+        log(LogEvent.SETTINGS_REFUSED, "errors" to errors.joinToString("; "))
+
     /**
      * A host without the store has old settings and few tokens, so callers are better served by
      * others. If most hosts are without it, the platform sends callers to all of them.
@@ -239,7 +242,7 @@
      * until all is done or the time for it is over.
      */
     fun stop() {
-        val limit = settings.stopLimit - STOP_MARGIN
+        val limit = stopLimit - STOP_MARGIN
         loop.execute { beginStop(limit) }
         if (!stopped.await(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)) {
             log(LogEvent.DRAIN_TIMEOUT, "open" to dispatcher.openRequests)
