Draw a few seconds of demand at a time and refuse at once what can't be had

Cause: slices placed evenly ahead of demand left too little in the store for large requests, and hosts differ in load. Ruled out: conflicts of store writes.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -69,8 +69,6 @@
         private set
     private val unresolved = ArrayList<PendingWrite>(0)
 
-    /** Tokens that the last request asked for. */
-    var lastNeed = 0L
     var spent = 0L
     var reserved = 0L
     var lent = 0L
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
@@ -15,7 +15,7 @@
     data class Reserve(val request: RequestId, val customer: CustomerId, val tokens: Long) :
         BudgetEvent
 
-    /** Requests of [customer] may come: a slice is taken ahead of the first one. */
+    /** Requests of [customer] may come: the record is read ahead of the first one. */
     data class Expect(val customer: CustomerId) : BudgetEvent
 
     /**
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -85,9 +85,8 @@
         }
         val account = account(event.customer)
         if (account.waiting.any { it.request == event.request }) return
-        account.lastNeed = event.tokens
-        // Without store and peers no tokens can come.
-        val hopeless = !storeReachable && placement.peers == 0
+        // Without the store no tokens can come.
+        val hopeless = !storeReachable && settings.peerless
         val wait = if (hopeless) Duration.ZERO else settings.grantWait
         account.waiting += Waiter(event.request, event.tokens, time, time + wait)
         work(account)
@@ -270,7 +269,7 @@
         if (account.waiting.isEmpty()) return
         val exhausted = account.waiting.filter { exhausted(account, it) }
         refuse(account, exhausted, ErrorKind.BUDGET_EXHAUSTED)
-        val late = account.waiting.filter { it.deadline <= time }
+        val late = account.waiting.filter { it.deadline <= time || unavailable(account, it) }
         refuse(account, late, ErrorKind.BUDGET_UNREACHABLE)
     }
 
@@ -279,6 +278,15 @@
         account.knownAt >= waiter.since - settings.knownFor &&
             account.remainingAtMost < waiter.tokens
 
+    /**
+     * A record that was read since the request came leaves too little for it. Without peers to lend
+     * the tokens of other slices, it would wait in vain.
+     */
+    private fun unavailable(account: Account, waiter: Waiter): Boolean =
+        settings.peerless && account.knownAt >= waiter.since &&
+            account.record.slices.keys.any { it != self } &&
+            account.free + account.record.available < waiter.tokens
+
     private fun refuse(account: Account, waiters: List<Waiter>, kind: ErrorKind) {
         if (waiters.isEmpty()) return
         account.waiting.removeAll(waiters)
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -20,12 +20,7 @@
  * @property reportInterval the shortest time between two periodic reports of one failure domain
  * @property idleReportInterval the longest time that changed spend stays unreported
  * @property placedShare share of the remaining tokens that is granted ahead of use
- * @property idleShare the part of the remaining tokens that all holders together keep whatever
- *   their demand is, in equal parts
- * @property expectedHolders the holders among which [idleShare] is divided, unless there are more
- * @property holderShare the most of the remaining tokens that one holder keeps ahead of use
  * @property holdSpan the longest span of its own demand that a holder keeps ahead of use
- * @property holdRequests requests of the last size that a holder may keep ahead of use in any case
  * @property demandSpan time constant of the demand average
  * @property endHorizon when the remaining tokens cover less than this span of the demand of all
  *   holders, grants shrink to [endSpan] of demand and the rest stays in the record
@@ -34,6 +29,7 @@
  * @property readInterval the shortest time between two reads of one record for waiting requests
  * @property knownFor how long an answer of the store or of a lender that there are no more tokens
  *   is relied on; bounds the reads and messages that an exhausted budget causes
+ * @property peerless whether there are no peers that could lend tokens
  * @property loanAnswer how long the next lender is not asked while one hasn't answered
  * @property copylessDelay how long a router without a copy leaves the slices of a dead router to
  *   routers that hold one
@@ -47,17 +43,14 @@
     val reportInterval: Duration = 10.seconds,
     val idleReportInterval: Duration = 1.minutes,
     val placedShare: Double = 0.95,
-    val idleShare: Double = 0.0,
-    val expectedHolders: Int = 1,
-    val holderShare: Double = 1.0,
     val holdSpan: Duration = Duration.INFINITE,
-    val holdRequests: Double = 0.0,
     val demandSpan: Duration = 2.minutes,
     val endHorizon: Duration = 1.minutes,
     val endSpan: Duration = 1.seconds,
     val storeTimeout: Duration = 1.seconds,
     val readInterval: Duration = 50.milliseconds,
     val knownFor: Duration = 1.seconds,
+    val peerless: Boolean = false,
     val loanAnswer: Duration = 50.milliseconds,
     val copylessDelay: Duration = 10.minutes
 ) {
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
@@ -40,29 +40,23 @@
             share = minOf(share, 1.0 / (peers + 1))
         }
         val remaining = account.remaining + account.reserved
-        val demand = maxOf(
-            account.demand.rate(now) * seconds(settings.holdSpan),
-            account.lastNeed * settings.holdRequests
-        )
         val ahead = minOf(
             remaining * settings.placedShare * share,
-            remaining * settings.holderShare,
-            account.reserved + demand
+            account.reserved + ownDemand(account, now)
         )
-        return maxOf(account.reserved, ahead.toLong(), floor(account))
+        return maxOf(account.reserved, ahead.toLong())
     }
 
-    /** Tokens that a holder keeps even without demand. */
-    private fun floor(account: Account): Long {
-        val holders = maxOf(settings.expectedHolders, account.record.slices.size)
-        val remaining = account.remaining + account.reserved
-        return (remaining * settings.idleShare / holders).toLong()
+    /** The most that its own demand lets a holder keep ahead of use. */
+    private fun ownDemand(account: Account, now: Duration): Double {
+        if (settings.holdSpan.isInfinite()) return Double.POSITIVE_INFINITY
+        return account.demand.rate(now) * seconds(settings.holdSpan)
     }
 
     /** Few tokens are left for the measured demand. */
     fun low(account: Account, now: Duration): Boolean {
         val span = if (ending(account, now)) settings.endSpan / 2 else settings.lowSpan
-        return account.free < maxOf(span(account, span, now), floor(account) / 2)
+        return account.free < span(account, span, now)
     }
 
     /** Tokens to hold when the holder is short: enough for a span of demand, not one request. */
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
@@ -65,12 +65,12 @@
     /** Takes over a complete read of the list. */
     fun listed(entries: List<ListedEndpoint>, now: Duration): List<DirectoryChange> = buildList {
         val present = entries.mapTo(HashSet()) { it.id }
-        entries.forEach { addAll(changed(it, now)) }
+        entries.forEach { addAll(changed(it)) }
         usable.keys.filter { it !in present }.forEach { addAll(removed(it, now)) }
     }
 
     /** Takes over a new state of one entry. */
-    fun changed(entry: ListedEndpoint, now: Duration): List<DirectoryChange> {
+    fun changed(entry: ListedEndpoint): List<DirectoryChange> {
         missing -= entry.id
         val known = usable[entry.id]
         return when {
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -235,8 +235,9 @@
         val request = entry.request
         val exhausted = entry.runs >= request.route.maxAttempts || entry.attempts >= MAX_SENDS
         val late = request.deadline - now < LAST_SEND
+        val over = exhausted || late
         val kind = entry.failure ?: ErrorKind.ENDPOINT_FAILED
-        if (exhausted || late || (counts && !service.retries.take())) {
+        if (over || (counts && !service.retries.take())) {
             giveUp(entry, kind)
         } else if (!send(service, entry, now)) {
             if (entry.answerHeld) giveUp(entry, kind) else wait(service, entry, now)
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointDirectoryTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointDirectoryTest.kt
@@ -26,9 +26,9 @@
     @Test
     fun leavingEndpointEndsAtOnceAndComesBackWhenReady() {
         directory.listed(listOf(e1), 1.seconds)
-        directory.changed(e1.copy(leaving = true), 2.seconds)
+        directory.changed(e1.copy(leaving = true))
         assertEquals(emptyList(), names())
-        directory.changed(e1, 3.seconds)
+        directory.changed(e1)
         assertEquals(listOf("e1"), names())
     }
 
@@ -40,7 +40,7 @@
         directory.storeReturned(10.seconds)
         directory.listed(emptyList(), 10.seconds)
         assertEquals(listOf("e1", "e2"), names())
-        directory.changed(e1, 11.seconds)
+        directory.changed(e1)
         directory.tick(10.seconds + EndpointDirectory.RETURN_TIME)
         assertEquals(listOf("e1"), names())
     }
@@ -49,7 +49,7 @@
     @Test
     fun endpointThatStartedAgainIsANewOne() {
         directory.listed(listOf(e1), 1.seconds)
-        val changes = directory.changed(e1.copy(startedMillis = 2), 2.seconds)
+        val changes = directory.changed(e1.copy(startedMillis = 2))
         assertIs<DirectoryChange.Removed>(changes[0])
         assertIs<DirectoryChange.Added>(changes[1])
     }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetTest.kt
@@ -50,6 +50,10 @@
 
         /** What was used when each request was refused. */
         val usedAtRefusal = ArrayList<Long>()
+        private val since = HashMap<RequestId, Double>()
+
+        /** The longest time that a refused request waited, in milliseconds. */
+        var longestWait = 0.0
         var served = 0
         var asked = 0
         private val settings = settings
@@ -107,6 +111,7 @@
             if (host.alive) {
                 val id = RequestId("r${requests++}")
                 open[id] = host to prompt
+                since[id] = time
                 handle(host, BudgetEvent.Reserve(id, customer, prompt + MOST_ANSWER))
             }
             at(-ln(1 - random.nextDouble()) * 1_000 / perSecond / burst) { request(perSecond, to) }
@@ -143,6 +148,8 @@
 
                     is BudgetAction.Refused -> {
                         refusals += time to action.kind
+                        val waited = time - since.getValue(action.request)
+                        longestWait = maxOf(longestWait, waited)
                         usedAtRefusal += used
                         open -= action.request
                     }
@@ -237,6 +244,17 @@
         assertTrue(late == 0, describe(world))
     }
 
+    /** Guards against callers that wait for tokens that lie in other hosts' slices. */
+    @Test
+    fun requestIsRefusedAtOnceIfOnlyOtherHostsHaveTokens() {
+        val split = entryBudgetSettings.copy(placedShare = 1.0)
+        val world = World(paid = 400_000, settings = split)
+        world.traffic(perSecond = 10.0, from = 100.0, to = 6_000.0)
+        world.runTo(8_000.0)
+        assertTrue(world.refusals.isNotEmpty())
+        assertTrue(world.longestWait <= 300.0, "waited ${world.longestWait} ms for a refusal")
+    }
+
     private class Day(val asked: Int, val served: Int) {
         val refused: Int get() = asked - served
     }
@@ -272,7 +290,6 @@
     fun slicesAheadHalveTheRefusalsOfAnOutage() {
         val nothingAhead = entryBudgetSettings.copy(
             placedShare = 0.0,
-            idleShare = 0.0,
             grantSpan = Duration.ZERO
         )
         for (perSecond in listOf(0.8, 2.0, 8.0)) {
@@ -287,7 +304,7 @@
     /** Guards against slices so large that a kill of all hosts costs more than outages do. */
     @Test
     fun killOfAllHostsCostsLessThanWithAStaticSplit() {
-        val split = entryBudgetSettings.copy(idleShare = 1.0, placedShare = 1.0, holderShare = 1.0)
+        val split = entryBudgetSettings.copy(placedShare = 1.0)
         for (perSecond in listOf(0.8, 2.0, 8.0)) {
             val before = days(split, perSecond, kill = true)
             val after = days(entryBudgetSettings, perSecond, kill = true)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -307,8 +307,7 @@
             endpointsKnown = true
         }
 
-        override fun endpointChanged(entry: ListedEndpoint) =
-            changed(directory.changed(entry, clock.now().elapsed))
+        override fun endpointChanged(entry: ListedEndpoint) = changed(directory.changed(entry))
 
         override fun endpointRemoved(id: EndpointId) =
             changed(directory.removed(id, clock.now().elapsed))
