--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -124,6 +124,7 @@
         metrics.gauge("hemlockpond.endpoint.connections.opened") { pool.opened }
         metrics.gauge("hemlockpond.budget.store.calls") { budgets.calls }
         metrics.gauge("hemlockpond.caller.connections") { connections.size }
+        metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
 
     private fun listen(): Channel = ServerBootstrap()
