Bound what ended runs of an entry router have spent

A host now stores a mark about every second with what it has used and a pace, and spends no more than the mark allows until it lapses. The next run on the host reads the mark and gives the rest of the slices back. Requests under way count as demand, a read from 200 ms before a request counts when it is refused, and each refusal for lack of tokens logs what decided it (HP1812).

After a power loss the steady clock starts anew, and nothing comes back.

Tests: marks in EntryBudgetTest (kills, outages and lost answers over 40 seeds never pass the budget; at most half of what kills cost without marks) and HostMarksTest. The test that requests aren't kept waiting for other hosts' tokens now asserts that the case occurs.

--- a/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
@@ -107,6 +107,8 @@
 
             is BudgetAction.WriteRecord -> write(router, action)
 
+            is BudgetAction.WriteMark -> error("routers with peers make no marks")
+
             is BudgetAction.SendToPeer -> {
                 val to = routers.indexOf(action.to)
                 if (!linked(router, to)) return
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetAction.kt
@@ -3,6 +3,7 @@
  */
 package org.hemlockpond.core.budget
 
+import kotlin.time.Duration
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
@@ -30,6 +31,12 @@
         val sequence: Long
     ) : BudgetAction
 
+    /**
+     * Store [mark], which was made [at] this time, in place of this router's last one and answer
+     * with [BudgetEvent.MarkWritten] and the same [sequence].
+     */
+    data class WriteMark(val mark: SpendMark, val at: Duration, val sequence: Long) : BudgetAction
+
     /** Send [message] to another router; it may get lost. */
     data class SendToPeer(val to: RouterId, val message: BudgetMessage) : BudgetAction
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
@@ -44,6 +44,18 @@
         val outcome: WriteOutcome
     ) : BudgetEvent
 
+    /**
+     * The answer to the [BudgetAction.WriteMark] with this [sequence]. If not [applied], it may
+     * still take effect, until a later one has.
+     */
+    data class MarkWritten(val sequence: Long, val applied: Boolean) : BudgetEvent
+
+    /**
+     * The process of [router] has ended and has used [usedAtMost] by customer. No bound is known
+     * for customers that are missing.
+     */
+    data class RunEnded(val router: RouterId, val usedAtMost: Map<CustomerId, Long>) : BudgetEvent
+
     /** Whether the store answers calls from this router. Assumed reachable at the start. */
     data class StoreReachable(val reachable: Boolean) : BudgetEvent
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -16,6 +16,21 @@
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
 
+/**
+ * What a router knows of one budget.
+ *
+ * @property free tokens of its slice that aren't reserved
+ * @property allowed those of them that its marks allow now
+ * @property recorded tokens that no slice held when the record was last seen
+ * @property recordAge how long ago that was
+ */
+data class BudgetState(
+    val free: Long,
+    val allowed: Long,
+    val recorded: Long,
+    val recordAge: Duration
+)
+
 /** The budget component of the router [self], which runs in [domain]. */
 class BudgetHolder(
     private val self: RouterId,
@@ -34,6 +49,7 @@
     private val placement = Placement(self, domain, settings)
     private val sliceWriter = SliceWriter(self, domain, settings, placement)
     private val dead = DeadRouters(settings)
+    private val marks = settings.marks?.let { SpendMarks(it) }
     private val lending = Lending(domain, settings, placement) { to, message ->
         actions += BudgetAction.SendToPeer(to, message)
     }
@@ -54,6 +70,8 @@
             is BudgetEvent.Credit -> credit(event)
             is BudgetEvent.RecordRead -> recordRead(event)
             is BudgetEvent.RecordWritten -> recordWritten(event)
+            is BudgetEvent.MarkWritten -> markWritten(event)
+            is BudgetEvent.RunEnded -> runEnded(event)
             is BudgetEvent.StoreReachable -> reachable(event.reachable)
             is BudgetEvent.LeaseRenewed -> lease.renewed(event.sent)
             is BudgetEvent.PeerReceived -> peerReceived(event.from, event.message)
@@ -68,6 +86,16 @@
     /** The routers that hold a slice in a record that this router has read. */
     fun holders(): Set<RouterId> = accounts.values.flatMapTo(HashSet()) { it.record.slices.keys }
 
+    /** What decides about requests of [customer] now. */
+    fun state(customer: CustomerId): BudgetState = account(customer).let {
+        BudgetState(
+            free = it.free,
+            allowed = allowed(it, time),
+            recorded = it.record.available,
+            recordAge = time - it.knownAt
+        )
+    }
+
     private fun account(customer: CustomerId): Account =
         accounts.getOrPut(customer) { Account(customer, self, settings, time) }
 
@@ -85,8 +113,9 @@
         }
         val account = account(event.customer)
         if (account.waiting.any { it.request == event.request }) return
-        // Without the store no tokens can come.
-        val hopeless = !storeReachable && settings.peerless
+        // Without the store no tokens can come, but a mark allows more as time passes.
+        val hopeless = settings.peerless && !storeReachable &&
+            event.tokens > allowed(account, time + settings.grantWait)
         val wait = if (hopeless) Duration.ZERO else settings.grantWait
         account.waiting += Waiter(event.request, event.tokens, time, time + wait)
         work(account)
@@ -148,6 +177,25 @@
         checkDrained()
     }
 
+    private fun markWritten(event: BudgetEvent.MarkWritten) {
+        marks?.written(event.sequence, event.applied)
+        accounts.values.filter { it.waiting.isNotEmpty() }.forEach { work(it) }
+    }
+
+    private fun runEnded(event: BudgetEvent.RunEnded) {
+        if (event.router == self) return
+        dead.ended(event.router, event.usedAtMost, time)
+        closeSlicesOf(event.router)
+    }
+
+    private fun closeSlicesOf(router: RouterId) {
+        for (account in accounts.values) {
+            if (router !in account.record.slices) continue
+            account.mustRead = true
+            work(account)
+        }
+    }
+
     private fun reachable(reachable: Boolean) {
         storeReachable = reachable
         if (reachable) accounts.values.forEach { work(it) }
@@ -206,6 +254,7 @@
 
     private fun tick() {
         lending.tick(time)
+        mark(account = null)
         while (timers.isNotEmpty() && timers.peek().at <= time) {
             val timer = timers.poll()
             if (timer.account.timer != timer.at) continue
@@ -238,6 +287,7 @@
     /** Does everything that can be done for [account] now, and sets its timer. */
     private fun work(account: Account) {
         serve(account)
+        mark(account)
         expire(account)
         account.expireCalls(time, settings.storeTimeout)
         if (readDue(account)) {
@@ -251,12 +301,25 @@
         setTimer(account)
     }
 
+    /** Tokens of the slice that may be reserved [at] a time. */
+    private fun allowed(account: Account, at: Duration): Long =
+        minOf(account.free, marks?.allowance(account, at) ?: Long.MAX_VALUE)
+
+    /** Writes a mark; at once if only the last one keeps a request of [account] waiting. */
+    private fun mark(account: Account?) {
+        if (marks == null || !storeReachable || fenced) return
+        val urgent = account?.waiting?.any { it.tokens <= account.free } ?: false
+        if (urgent || account == null) {
+            if (marks.due(urgent, time)) marks.next(accounts.values, time)?.let { actions += it }
+        }
+    }
+
     private fun serve(account: Account) {
         if (account.waiting.isEmpty() || !maySpend()) return
         val waiters = account.waiting.iterator()
         while (waiters.hasNext()) {
             val waiter = waiters.next()
-            if (waiter.tokens > account.free) continue
+            if (waiter.tokens > allowed(account, time)) continue
             waiters.remove()
             account.reserved += waiter.tokens
             reservations[waiter.request] = Reservation(account, waiter.tokens)
@@ -279,11 +342,11 @@
             account.remainingAtMost < waiter.tokens
 
     /**
-     * A record that was read since the request came leaves too little for it. Without peers to lend
+     * A record that was read just before the request or since leaves too little for it. Without peers to lend
      * the tokens of other slices, it would wait in vain.
      */
     private fun unavailable(account: Account, waiter: Waiter): Boolean =
-        settings.peerless && account.knownAt >= waiter.since &&
+        settings.peerless && account.knownAt >= waiter.since - settings.readInterval &&
             account.record.slices.keys.any { it != self } &&
             account.free + account.record.available < waiter.tokens
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -30,6 +30,7 @@
  * @property knownFor how long an answer of the store or of a lender that there are no more tokens
  *   is relied on; bounds the reads and messages that an exhausted budget causes
  * @property peerless whether there are no peers that could lend tokens
+ * @property marks how the use of a router that ends without a word is bounded; null if it isn't
  * @property loanAnswer how long the next lender is not asked while one hasn't answered
  * @property copylessDelay how long a router without a copy leaves the slices of a dead router to
  *   routers that hold one
@@ -51,6 +52,7 @@
     val readInterval: Duration = 50.milliseconds,
     val knownFor: Duration = 1.seconds,
     val peerless: Boolean = false,
+    val marks: MarkSettings? = null,
     val loanAnswer: Duration = 50.milliseconds,
     val copylessDelay: Duration = 10.minutes
 ) {
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/DeadRouters.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/DeadRouters.kt
@@ -4,6 +4,7 @@
  * A copy shows what a dead router spent and reserved, but not what it lent. A router of the same
  * failure domain that received the lender's complete lent totals knows that too, because no loan
  * is sent before all of these routers have confirmed it. Only such a router closes from a copy.
+ * A router without peers has lent nothing, so a bound of its use is enough.
  */
 package org.hemlockpond.core.budget
 
@@ -15,6 +16,7 @@
     private class Death(val since: Duration, val copies: Map<CustomerId, SpendCopy>?)
 
     private val deaths = HashMap<RouterId, Death>()
+    private val bounds = HashMap<RouterId, Map<CustomerId, Long>>()
     private val lentTotals = HashMap<RouterId, MutableMap<CustomerId, Long>>()
     private val complete = HashSet<RouterId>()
 
@@ -26,6 +28,12 @@
         deaths[router] = Death(known?.since ?: now, copies ?: known?.copies)
     }
 
+    /** [router] has ended and used no more than [usedAtMost]. */
+    fun ended(router: RouterId, usedAtMost: Map<CustomerId, Long>, now: Duration) {
+        died(router, copies = null, now)
+        bounds[router] = usedAtMost
+    }
+
     /** Notes what [lender] has lent; false if it is too late because the lender is dead. */
     fun note(lender: RouterId, message: BudgetMessage.LentTotals): Boolean {
         if (lender in deaths) return false
@@ -51,6 +59,11 @@
             when {
                 death == null || !ready(router, death, now) -> result
 
+                router in bounds -> {
+                    val most = bounds.getValue(router)[customer]
+                    result.withClosed(router, most?.let { SpendCopy(it, reserved = 0) })
+                }
+
                 death.copies != null && router in complete -> {
                     val copy = death.copies[customer] ?: SpendCopy(0, 0)
                     result.withClosed(router, copy, lentTotals[router]?.get(customer) ?: 0)
@@ -62,6 +75,6 @@
     }
 
     private fun ready(router: RouterId, death: Death, now: Duration): Boolean =
-        (death.copies != null && router in complete) ||
+        router in bounds || (death.copies != null && router in complete) ||
             now - death.since >= settings.copylessDelay
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Demand.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Demand.kt
@@ -10,6 +10,7 @@
 /** Measures the demand of one customer at one router. */
 internal class Demand(span: Duration) {
     private val spanSeconds = span.toDouble(DurationUnit.SECONDS)
+    private val minWeight = minOf(MIN_WEIGHT_SECONDS, spanSeconds / MIN_WEIGHT_PART)
     private var tokens = 0.0
     private var weight = 0.0
     private var last: Duration? = null
@@ -19,10 +20,10 @@
         tokens += amount
     }
 
-    /** Tokens a second. */
-    fun rate(at: Duration): Double {
+    /** Tokens a second; [open] ones are asked for and not added yet. */
+    fun rate(at: Duration, open: Long = 0): Double {
         decay(at)
-        return tokens / maxOf(weight, MIN_WEIGHT_SECONDS)
+        return (tokens + open) / maxOf(weight, minWeight)
     }
 
     private fun decay(at: Duration) {
@@ -37,5 +38,8 @@
     private companion object {
         // A shorter time would turn the first large request into a huge rate.
         const val MIN_WEIGHT_SECONDS = 10.0
+
+        /** Keeps that time below a short span, so that a new holder learns its demand in time. */
+        const val MIN_WEIGHT_PART = 4
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
@@ -22,7 +22,16 @@
     var peers = 0
 
     fun wanted(account: Account, now: Duration): Long =
-        maxOf(1, (account.demand.rate(now) * seconds(settings.grantSpan)).toLong())
+        maxOf(1, (rate(account, now) * seconds(settings.grantSpan)).toLong())
+
+    /**
+     * The holder's demand in tokens a second. Without peers, requests under way count too: what is
+     * lacking when the store goes away can't be borrowed.
+     */
+    private fun rate(account: Account, now: Duration): Double {
+        val open = if (settings.peerless) account.reserved else 0
+        return account.demand.rate(now, open)
+    }
 
     /** Near the end of the budget, as far as the last known record shows. */
     fun ending(account: Account, now: Duration): Boolean {
@@ -50,7 +59,7 @@
     /** The most that its own demand lets a holder keep ahead of use. */
     private fun ownDemand(account: Account, now: Duration): Double {
         if (settings.holdSpan.isInfinite()) return Double.POSITIVE_INFINITY
-        return account.demand.rate(now) * seconds(settings.holdSpan)
+        return rate(account, now) * seconds(settings.holdSpan)
     }
 
     /** Few tokens are left for the measured demand. */
@@ -67,7 +76,7 @@
     }
 
     fun span(account: Account, span: Duration, now: Duration): Long =
-        (account.demand.rate(now) * seconds(span)).toLong()
+        (rate(account, now) * seconds(span)).toLong()
 
     /**
      * The time between periodic reports. It grows with the holders in the failure domain, so that
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -2,9 +2,9 @@
  * How entry hosts share budgets: through the store alone, in slices.
  *
  * All hosts can be cut off from the store for ten seconds at a time, and then live on their slices.
- * A host that is killed loses its slice, and a large request needs tokens that no other host holds.
- * A host therefore draws a few seconds of its own demand at a time, and hosts keep a part of the
- * remaining tokens ahead, in proportion to demand; the rest stays in the store.
+ * A large request needs tokens that no other host holds, so some are left in the store. A host that
+ * is killed gets back what its last mark shows to be unspent; the longer the store was away before,
+ * the less that is.
  */
 package org.hemlockpond.core.entry
 
@@ -13,6 +13,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.hemlockpond.core.budget.BudgetSettings
+import org.hemlockpond.core.budget.MarkSettings
 
 /** Settings of the budget component on entry hosts. */
 val entryBudgetSettings = BudgetSettings(
@@ -29,5 +30,11 @@
     knownFor = 500.milliseconds,
     readInterval = 200.milliseconds,
     peerless = true,
+    marks = MarkSettings(
+        interval = 1.seconds,
+        ahead = 0.25,
+        pace = 0.1,
+        lapse = 2_800.milliseconds
+    ),
     copylessDelay = Duration.ZERO
 )
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
@@ -177,6 +177,8 @@
 
             is BudgetAction.WriteRecord -> write(router, action)
 
+            is BudgetAction.WriteMark -> error("these routers make no marks")
+
             is BudgetAction.SendToPeer -> send(router, action)
 
             BudgetAction.Fenced -> {
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetTest.kt
@@ -24,10 +24,11 @@
 
 /**
  * Replays the load of a day in virtual time: eight hosts without peers, one customer, a store that
- * answers after 4 ms, requests of very different sizes.
+ * answers after 4 ms, requests of very different sizes. Callers keep their connections, so that one
+ * host gets a third of the requests.
  */
 class EntryBudgetTest {
-    private class Host(val holder: BudgetHolder, val id: RouterId) {
+    private class Host(val holder: BudgetHolder, val id: RouterId, val number: Int) {
         var connected = true
         var alive = true
     }
@@ -57,16 +58,26 @@
         var served = 0
         var asked = 0
         private val settings = settings
-        val hosts = MutableList(hosts) { host(it, 0) }
+
+        /** The stored mark of each run, with the time when it was made. */
+        private val marks = HashMap<RouterId, BudgetAction.WriteMark>()
+
+        /** What ended runs have used at most, by host. */
+        private val ended = HashMap<Int, MutableMap<RouterId, Map<CustomerId, Long>>>()
+
+        /** How many in a hundred writes are done without an answer. */
+        var lostAnswers = 0
+        private val runs = IntArray(hosts)
+        val hosts = MutableList(hosts) { host(it) }
 
         init {
             tick()
         }
 
-        private fun host(number: Int, run: Int): Host {
-            val id = RouterId("h$number/$run")
+        private fun host(number: Int): Host {
+            val id = RouterId("h$number/${runs[number]++}")
             val holder = BudgetHolder(id, FailureDomain("d${number % 3}"), settings)
-            return Host(holder, id).also {
+            return Host(holder, id, number).also {
                 handle(it, BudgetEvent.LeaseRenewed(now()))
                 handle(it, BudgetEvent.Expect(customer))
             }
@@ -102,7 +113,7 @@
         private fun request(perSecond: Double, to: Double) {
             if (time >= to) return
             asked++
-            val host = hosts[random.nextInt(hosts.size)]
+            val host = hosts[randomHost(random)]
             val prompt = (
                 3_000 + 9_000 * -ln(
                     1 - random.nextDouble()
@@ -130,10 +141,29 @@
             hosts.forEach { cut(it, connected = true) }
         }
 
-        fun restart(number: Int) {
-            hosts[number].alive = false
-            hosts[number] = host(number, 1)
-            handle(hosts[number], BudgetEvent.RouterDied(RouterId("h$number/0"), null))
+        /** Kills a host; its next run knows what the stored marks show. */
+        fun restart(number: Int, gap: Double = RESTART_MILLIS) {
+            val dead = hosts[number]
+            if (!dead.alive) return
+            dead.alive = false
+            at(gap) {
+                val bounds = ended.getOrPut(number) { HashMap() }
+                marks[dead.id]?.let { mark ->
+                    val age = time.milliseconds - mark.at
+                    bounds[dead.id] = mark.mark.ended(age).use.mapValues { it.value.used }
+                }
+                hosts[number] = host(number)
+                for (run in 0 until runs[number] - 1) {
+                    val id = RouterId("h$number/$run")
+                    val used = bounds[id]
+                    val event = if (used == null) {
+                        BudgetEvent.RouterDied(id, copies = null)
+                    } else {
+                        BudgetEvent.RunEnded(id, used)
+                    }
+                    handle(hosts[number], event)
+                }
+            }
         }
 
         private fun handle(host: Host, event: BudgetEvent) {
@@ -160,6 +190,12 @@
 
                     is BudgetAction.WriteRecord -> call(host) { write(host, action) }
 
+                    is BudgetAction.WriteMark -> {
+                        val event = BudgetEvent.MarkWritten(action.sequence, applied = true)
+                        call(host) { mark(host, action) }
+                        at(CALL_TIMEOUT) { handle(host, event.copy(applied = false)) }
+                    }
+
                     else -> Unit
                 }
             }
@@ -170,6 +206,14 @@
             if (host.connected) at(STORE_MILLIS) { answer() }
         }
 
+        private fun mark(host: Host, action: BudgetAction.WriteMark) {
+            marks[host.id] = action
+            if (answerIsLost()) return
+            handle(host, BudgetEvent.MarkWritten(action.sequence, applied = true))
+        }
+
+        private fun answerIsLost() = lostAnswers > 0 && random.nextInt(100) < lostAnswers
+
         private fun write(host: Host, action: BudgetAction.WriteRecord) {
             val outcome = if (action.expectedRevision == revision) {
                 record = action.record
@@ -178,6 +222,7 @@
             } else {
                 WriteOutcome.Conflict
             }
+            if (answerIsLost()) return
             handle(host, BudgetEvent.RecordWritten(customer, action.sequence, outcome))
         }
 
@@ -196,6 +241,45 @@
             const val TICK = 25.0
             const val STORE_MILLIS = 4.0
             const val MOST_ANSWER = 1_000L
+            const val RESTART_MILLIS = 1_400.0
+            const val CALL_TIMEOUT = 1_000.0
+        }
+    }
+
+    /**
+     * The simplest policy: each host owns an equal part, of which nothing comes back after a kill.
+     * Arrivals are those of [World] with the same seed.
+     */
+    private class StaticSplit(paid: Long, hosts: Int, seed: Int) {
+        private val random = Random(seed)
+        private val left = LongArray(hosts) { paid / hosts }
+        private val refunds = PriorityQueue<Triple<Double, Int, Long>>(compareBy { it.first })
+        var served = 0
+
+        fun traffic(perSecond: Double, to: Double, burst: (Double) -> Double, killAt: Double) {
+            var time = 0.0
+            while (time < to) {
+                val host = randomHost(random)
+                val tokens = (3_000 + 9_000 * -ln(1 - random.nextDouble())).toLong()
+                    .coerceAtMost(60_000)
+                refund(time)
+                val most = tokens + World.MOST_ANSWER
+                if (time < killAt && left[host] >= most) {
+                    served++
+                    left[host] -= most
+                    val unused = World.MOST_ANSWER - World.MOST_ANSWER / 3
+                    refunds += Triple(time + 2_000, host, unused)
+                }
+                val gap = -ln(1 - random.nextDouble()) * 1_000 / perSecond
+                time += gap / burst(time)
+            }
+        }
+
+        private fun refund(time: Double) {
+            while (refunds.isNotEmpty() && refunds.peek().first <= time) {
+                val (_, host, tokens) = refunds.poll()
+                left[host] += tokens
+            }
         }
     }
 
@@ -247,11 +331,11 @@
     /** Guards against callers that wait for tokens that lie in other hosts' slices. */
     @Test
     fun requestIsRefusedAtOnceIfOnlyOtherHostsHaveTokens() {
-        val split = entryBudgetSettings.copy(placedShare = 1.0)
-        val world = World(paid = 400_000, settings = split)
+        val allPlaced = entryBudgetSettings.copy(placedShare = 1.0)
+        val world = World(paid = 400_000, settings = allPlaced)
         world.traffic(perSecond = 10.0, from = 100.0, to = 6_000.0)
         world.runTo(8_000.0)
-        assertTrue(world.refusals.isNotEmpty())
+        assertTrue(world.refusals.any { it.second == ErrorKind.BUDGET_UNREACHABLE })
         assertTrue(world.longestWait <= 300.0, "waited ${world.longestWait} ms for a refusal")
     }
 
@@ -267,8 +351,7 @@
         var asked = 0
         var served = 0
         for (seed in 1..6) {
-            val paid = (perSecond * MEAN_TOKENS * DAY_SECONDS * PAID_RATIO).toLong()
-            val world = World(paid, settings, seed = seed)
+            val world = World(paid(perSecond), settings, seed = seed)
             world.traffic(perSecond, from = 0.0, to = if (kill) 58_000.0 else 41_000.0)
             world.outage(from = 5_300.0, to = 13_300.0)
             world.runTo(16_000.0)
@@ -285,12 +368,16 @@
         return Day(asked, served)
     }
 
+    private fun paid(perSecond: Double) =
+        (perSecond * MEAN_TOKENS * DAY_SECONDS * PAID_RATIO).toLong()
+
     /** Guards against hosts that hold nothing when the store is lost. */
     @Test
     fun slicesAheadHalveTheRefusalsOfAnOutage() {
         val nothingAhead = entryBudgetSettings.copy(
             placedShare = 0.0,
-            grantSpan = Duration.ZERO
+            grantSpan = 1.milliseconds,
+            lowSpan = Duration.ZERO
         )
         for (perSecond in listOf(0.8, 2.0, 8.0)) {
             val before = days(nothingAhead, perSecond, kill = false)
@@ -304,17 +391,78 @@
     /** Guards against slices so large that a kill of all hosts costs more than outages do. */
     @Test
     fun killOfAllHostsCostsLessThanWithAStaticSplit() {
-        val split = entryBudgetSettings.copy(placedShare = 1.0)
         for (perSecond in listOf(0.8, 2.0, 8.0)) {
-            val before = days(split, perSecond, kill = true)
+            var before = 0
+            for (seed in 1..6) {
+                val split = StaticSplit(paid(perSecond), hosts = 8, seed)
+                split.traffic(
+                    perSecond,
+                    to = 58_000.0,
+                    burst = { if (it in 16_000.0..22_000.0) 2.2 else 1.0 },
+                    killAt = 41_000.0
+                )
+                before += split.served
+            }
             val after = days(entryBudgetSettings, perSecond, kill = true)
             val text = "at $perSecond/s: ${after.served} served of ${after.asked}, " +
-                "${before.served} of ${before.asked} with a static split"
-            assertTrue(after.served > before.served, text)
+                "$before with a static split"
+            assertTrue(after.served > before, text)
+        }
+    }
+
+    /** Guards against tokens that are lost with each kill, and against a mark that grows too fast. */
+    @Test
+    fun mostTokensOfKilledHostsComeBack() {
+        val lossOf = { settings: BudgetSettings ->
+            val world = World(paid = 4_000_000, settings = settings)
+            world.traffic(perSecond = 4.0, from = 0.0, to = 90_000.0)
+            world.runTo(15_000.0)
+            world.hosts.indices.forEach { world.restart(it) }
+            world.runTo(30_000.0)
+            world.hosts.indices.forEach { world.restart(it) }
+            world.runTo(95_000.0)
+            world.paid - world.used
+        }
+        val lost = lossOf(entryBudgetSettings)
+        val lostWithout = lossOf(entryBudgetSettings.copy(marks = null))
+        assertTrue(lost * 2 <= lostWithout, "lost $lost, without marks $lostWithout")
+    }
+
+    /** Guards against spend above the budget, whatever hosts and store do. */
+    @Test
+    fun killsAndOutagesNeverLetTheSpendPassTheBudget() {
+        for (seed in 1..40) {
+            val random = Random(seed)
+            val world = World(paid = 2_000_000, settings = entryBudgetSettings, seed = seed)
+            world.lostAnswers = 10
+            world.traffic(perSecond = 8.0, from = 0.0, to = 40_000.0)
+            while (world.time < 40_000) {
+                val host = random.nextInt(world.hosts.size)
+                when (random.nextInt(3)) {
+                    0 -> world.restart(host, gap = random.nextDouble(10.0, 2_000.0))
+                    1 -> world.cut(world.hosts[host], connected = random.nextBoolean())
+                    else -> world.burst = random.nextDouble(0.5, 3.0)
+                }
+                world.runTo(world.time + random.nextDouble(50.0, 1_500.0))
+            }
+            world.runTo(45_000.0)
+            assertTrue(world.used <= world.paid, "seed $seed: ${describe(world)}")
+            assertTrue(world.served > 0, "seed $seed")
         }
     }
 
     private companion object {
+        /** Requests of each host, in a hundred. */
+        val HOST_WEIGHTS = listOf(35, 10, 9, 5, 5, 9, 9, 18)
+
+        fun randomHost(random: Random): Int {
+            var rest = random.nextInt(HOST_WEIGHTS.sum())
+            return HOST_WEIGHTS.indexOfFirst { weight ->
+                rest -= weight
+                rest < 0
+            }
+        }
+
         const val MEAN_TOKENS = 12_000
         const val DAY_SECONDS = 41
         const val PAID_RATIO = 1.3
--- a/router/src/main/kotlin/org/hemlockpond/router/Control.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Control.kt
@@ -136,6 +136,9 @@
 
             is BudgetAction.WriteRecord -> outside.store(action)
 
+            // Peers hold copies of what this router spends, so it makes no marks.
+            is BudgetAction.WriteMark -> Unit
+
             is BudgetAction.SendToPeer ->
                 outside.send(action.to, PeerMessage.Budget(action.message))
 
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -65,7 +65,9 @@
     PAYMENT_ENTERED(1807, Level.INFO, "a payment was entered in a budget"),
     CRASH_RECORDED(1808, Level.WARN, "content under which an endpoint crashed was recorded"),
     SETTINGS_RELOADED(1809, Level.INFO, "settings file read again"),
-    SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one")
+    SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one"),
+    RUN_ENDED(1811, Level.INFO, "an earlier run on this host has ended; its use is bounded"),
+    BUDGET_REFUSED(1812, Level.INFO, "request refused for lack of tokens")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
@@ -22,6 +23,7 @@
 import org.hemlockpond.core.budget.BudgetHolder
 import org.hemlockpond.core.budget.BudgetRecord
 import org.hemlockpond.core.budget.BudgetSettings
+import org.hemlockpond.core.budget.BudgetState
 import org.hemlockpond.core.budget.WriteOutcome
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.router.LogEvent
@@ -46,7 +48,10 @@
     fun drained()
 }
 
-/** @param self this run of the router; its name begins with that of the host and a slash */
+/**
+ * @param self this run of the router; its name begins with that of the host and a slash
+ * @param marks bounds the use of runs on this host that ended without returning their slices
+ */
 internal class EntryBudgets(
     private val self: RouterId,
     domain: FailureDomain,
@@ -54,6 +59,7 @@
     private val store: KeyValueStore,
     private val scope: CoroutineScope,
     private val clock: RouterClock,
+    private val marks: HostMarks,
     private val listener: BudgetListener
 ) {
     private class Known(val revision: Long, val record: BudgetRecord, val at: Duration)
@@ -71,7 +77,17 @@
         private set
 
     /** No lease guards the slices: only the next run on this host closes them. */
-    fun start() = handle(BudgetEvent.LeaseRenewed(clock.now()))
+    fun start() {
+        handle(BudgetEvent.LeaseRenewed(clock.now()))
+        scope.launch {
+            calls++
+            while (!marks.read()) {
+                delay(MARKS_PAUSE)
+                calls++
+            }
+            known.values.toList().forEach { earlierRuns(it.record) }
+        }
+    }
 
     fun configChanged(config: EntryConfig) {
         prepaid = config.customers.mapNotNull { c -> c.prepaidTokens?.let { c.id to it } }.toMap()
@@ -81,6 +97,9 @@
     /** Whether requests of [customer] need tokens. */
     fun isPrepaid(customer: CustomerId): Boolean = customer in prepaid
 
+    /** What decides about requests of [customer] now. */
+    fun state(customer: CustomerId): BudgetState = holder.state(customer)
+
     fun reserve(request: RequestId, customer: CustomerId, tokens: Long) =
         handle(BudgetEvent.Reserve(request, customer, tokens))
 
@@ -110,6 +129,8 @@
 
                 is BudgetAction.WriteRecord -> write(action)
 
+                is BudgetAction.WriteMark -> scope.launch { write(action) }
+
                 // Entry routers have no peers: they share tokens through the record alone.
                 is BudgetAction.SendToPeer -> Unit
 
@@ -186,12 +207,28 @@
         handle(BudgetEvent.RecordRead(customer, revision, record))
     }
 
+    private suspend fun write(action: BudgetAction.WriteMark) {
+        calls++
+        val result = marks.write(action.mark, action.at)
+        if (result == MarkResult.TAKEN_OVER) listener.fenced()
+        handle(BudgetEvent.MarkWritten(action.sequence, result == MarkResult.APPLIED))
+    }
+
     /** This process runs on its host, so earlier ones there have ended. */
     private fun earlierRuns(record: BudgetRecord) {
+        if (!marks.isRead) return
         val host = self.value.substringBefore('/') + "/"
         for (router in record.slices.keys) {
             if (router == self || !router.value.startsWith(host)) continue
-            if (reportedDead.add(router)) handle(BudgetEvent.RouterDied(router, copies = null))
+            if (!reportedDead.add(router)) continue
+            val used = marks.usedAtMost(router)
+            handle(
+                if (used == null) {
+                    BudgetEvent.RouterDied(router, copies = null)
+                } else {
+                    BudgetEvent.RunEnded(router, used)
+                }
+            )
         }
     }
 
@@ -265,5 +302,8 @@
 
         /** How long a record with plenty of tokens stands in for a read. */
         val REUSE = 10.seconds
+
+        /** The pause after the store didn't answer the first read of the marks. */
+        val MARKS_PAUSE = 200.milliseconds
     }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -174,6 +174,18 @@
         val exchange = exchanges[id] ?: return
         exchange.reserving = false
         val retryAfter = if (kind == ErrorKind.BUDGET_EXHAUSTED) null else BUDGET_RETRY
+        exchange.request.customer?.let { customer ->
+            val state = budgets.state(customer)
+            log(
+                LogEvent.BUDGET_REFUSED,
+                "request" to id,
+                "needed" to exchange.request.maxTokens,
+                "free" to state.free,
+                "allowed" to state.allowed,
+                "recorded" to state.recorded,
+                "record age" to millis(state.recordAge)
+            )
+        }
         end(exchange, "refused", kind) { exchange.refuse(kind, retryAfter) }
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -75,6 +75,7 @@
         store,
         scope,
         clock,
+        HostMarks(id, settings.callers.toString(), store, clock, SystemMachineClock()),
         Budgets()
     )
     private val requests =
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
@@ -0,0 +1,130 @@
+/*
+ * Keeps the spend marks of one host in the store. Only the router of the host writes them, and a new
+ * run starts by reading what earlier ones left. An earlier run on the same address has ended, because
+ * the new one listens there.
+ */
+package org.hemlockpond.router.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.budget.SpendMark
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.log
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.KeyValueStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
+
+/**
+ * @property at when the mark was made, on the machine's steady clock in milliseconds
+ * @property wall the same on the wall clock
+ */
+@Serializable
+internal data class RunMark(val at: Long, val wall: Long, val mark: SpendMark)
+
+/**
+ * The marks of one host.
+ *
+ * @property address where its router listens for callers
+ * @property boot the start of the machine that [RunMark.at] counts from
+ */
+@Serializable
+internal data class StoredMarks(
+    val address: String,
+    val boot: String? = null,
+    val runs: Map<RouterId, RunMark> = emptyMap()
+)
+
+/** The outcome of [HostMarks.write]. */
+internal enum class MarkResult { APPLIED, UNKNOWN, TAKEN_OVER }
+
+internal class HostMarks(
+    private val self: RouterId,
+    private val address: String,
+    private val store: KeyValueStore,
+    private val clock: RouterClock,
+    private val machine: MachineClock
+) {
+    private val key = PREFIX + self.value.substringBefore('/')
+    private var revision: Long? = null
+    private var earlier: Map<RouterId, RunMark> = emptyMap()
+
+    /** Whether the marks of earlier runs have been read. */
+    val isRead: Boolean get() = revision != null
+
+    /** Reads the marks of earlier runs; false if the store didn't answer. */
+    suspend fun read(): Boolean {
+        val read = store.read(key) as? ReadResult.Values ?: return false
+        val stored = read.values.firstOrNull { it.key == key }
+        stored?.let { decode(it) }?.let { earlier = ended(it) }
+        revision = stored?.revision ?: 0
+        return true
+    }
+
+    /** What an earlier run on this host has used at most, by customer; null if that is unknown. */
+    fun usedAtMost(run: RouterId): Map<CustomerId, Long>? =
+        earlier[run]?.mark?.use?.mapValues { it.value.used }
+
+    /** The greatest use of runs that have ended by now; their marks no longer grow. */
+    private fun ended(stored: StoredMarks): Map<RouterId, RunMark> {
+        if (stored.address != address || stored.boot != machine.boot) return emptyMap()
+        val steady = machine.steadyMillis()
+        val wall = machine.wallMillis()
+        return stored.runs.entries.toList().takeLast(MAX_RUNS).mapNotNull { (run, mark) ->
+            // The steady clock went back: the machine has started anew.
+            if (steady < mark.at) return@mapNotNull null
+            val elapsed = maxOf(steady - mark.at, wall - mark.wall).milliseconds
+            log(LogEvent.RUN_ENDED, "router" to run, "mark age" to elapsed)
+            run to RunMark(steady, wall, mark.mark.ended(elapsed))
+        }.toMap()
+    }
+
+    /** Stores [mark], which was made at [at] on the router's clock. */
+    suspend fun write(mark: SpendMark, at: Duration): MarkResult {
+        val expected = revision ?: return MarkResult.UNKNOWN
+        val age = (clock.now().elapsed - at).inWholeMilliseconds + 1
+        val own = RunMark(machine.steadyMillis() - age, machine.wallMillis() - age, mark)
+        val next = StoredMarks(address, machine.boot, earlier + (self to own))
+        val text = json.encodeToString(StoredMarks.serializer(), next)
+        return when (val result = store.commit(listOf(ConditionalWrite(key, expected, text)))) {
+            is WriteResult.Applied -> {
+                revision = result.revision
+                MarkResult.APPLIED
+            }
+
+            is WriteResult.Conflict -> conflict(result.current.firstOrNull())
+
+            is WriteResult.NotSent, is WriteResult.Unknown -> MarkResult.UNKNOWN
+        }
+    }
+
+    /** An earlier write of this run has taken effect unseen, or another run has taken over. */
+    private fun conflict(current: StoredValue?): MarkResult {
+        val runs = current?.let { decode(it) }?.runs.orEmpty()
+        if (self !in runs) return MarkResult.TAKEN_OVER
+        revision = current?.revision
+        return MarkResult.UNKNOWN
+    }
+
+    private fun decode(stored: StoredValue): StoredMarks? = try {
+        json.decodeFromString(StoredMarks.serializer(), stored.value)
+    } catch (e: SerializationException) {
+        log(LogEvent.RECORD_INVALID, "key" to stored.key, cause = e)
+        null
+    }
+
+    private companion object {
+        const val PREFIX = "hemlockpond/marks/"
+        val json = Json { encodeDefaults = false }
+
+        /** Runs whose slices may not be closed yet; a store outage can span several restarts. */
+        const val MAX_RUNS = 4
+    }
+}
--- /dev/null
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/HostMarksTest.kt
@@ -0,0 +1,190 @@
+package org.hemlockpond.router.entry
+
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertNull
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Instant
+import kotlinx.coroutines.flow.Flow
+import kotlinx.coroutines.flow.emptyFlow
+import kotlinx.coroutines.runBlocking
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.budget.MarkedUse
+import org.hemlockpond.core.budget.SpendMark
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.KeyValueStore
+import org.hemlockpond.store.LeaseId
+import org.hemlockpond.store.LeaseResult
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
+
+class HostMarksTest {
+    /** A store in memory; writes are done without an answer while [loseAnswers] is set. */
+    private class Memory : KeyValueStore {
+        val values = HashMap<String, StoredValue>()
+        private var revision = 10L
+        var loseAnswers = false
+
+        override suspend fun read(key: String): ReadResult =
+            ReadResult.Values(listOfNotNull(values[key]), revision)
+
+        override suspend fun readPrefix(prefix: String): ReadResult =
+            ReadResult.Values(values.values.filter { it.key.startsWith(prefix) }, revision)
+
+        override suspend fun commit(writes: List<ConditionalWrite>): WriteResult {
+            val write = writes.single()
+            val current = values[write.key]
+            if ((current?.revision ?: 0) != write.expectedRevision) {
+                return WriteResult.Conflict(listOfNotNull(current))
+            }
+            revision++
+            values[write.key] = StoredValue(write.key, write.value!!, revision)
+            return if (loseAnswers) WriteResult.Unknown("lost") else WriteResult.Applied(revision)
+        }
+
+        override suspend fun grantLease(ttl: Duration): LeaseResult = error("no leases")
+
+        override suspend fun keepAlive(lease: LeaseId): LeaseResult = error("no leases")
+
+        override fun watch(prefix: String, fromRevision: Long): Flow<List<Nothing>> = emptyFlow()
+
+        override fun close() = Unit
+    }
+
+    private class Machine(override var boot: String? = "boot-1") : MachineClock {
+        var steady = 50_000L
+        var wall = 1_000_000L
+
+        fun advance(millis: Long) {
+            steady += millis
+            wall += millis
+        }
+
+        override fun steadyMillis() = steady
+
+        override fun wallMillis() = wall
+    }
+
+    private val store = Memory()
+    private val machine = Machine()
+    private val customer = CustomerId("c")
+    private val first = RouterId("edge-1/a")
+    private val mark = SpendMark(mapOf(customer to MarkedUse(used = 1_000, pace = 100)), 5_000)
+
+    private fun marks(run: String, address: String = "10.0.0.1:80") = HostMarks(
+        RouterId("edge-1/$run"),
+        address,
+        store,
+        { Now(machine.steady.milliseconds, Instant.fromEpochMilliseconds(machine.wall)) },
+        machine
+    )
+
+    private fun writtenByFirstRun() = runBlocking {
+        val marks = marks("a")
+        assertTrue(marks.read())
+        assertEquals(MarkResult.APPLIED, marks.write(mark, machine.steady.milliseconds))
+    }
+
+    /** What a new run makes of the first run's mark. */
+    private fun usedByFirstRun(address: String = "10.0.0.1:80"): Long? = runBlocking {
+        val next = marks("b", address)
+        assertTrue(next.read())
+        next.usedAtMost(first)?.get(customer)
+    }
+
+    @Test
+    fun nextRunKnowsTheGreatestUseOfTheOneBefore() {
+        writtenByFirstRun()
+        machine.advance(2_000)
+        // The mark may have been made up to a millisecond earlier than it says.
+        assertTrue(usedByFirstRun()!! in 1_200..1_201)
+    }
+
+    @Test
+    fun lapsedMarkBoundsNothing() {
+        writtenByFirstRun()
+        machine.advance(5_000)
+        assertNull(usedByFirstRun())
+    }
+
+    /** Guards against a clock that was set back and hides time in which tokens were spent. */
+    @Test
+    fun clockThatShowsMoreTimeCounts() {
+        writtenByFirstRun()
+        machine.steady += 1_000
+        machine.wall += 3_000
+        assertTrue(usedByFirstRun()!! in 1_300..1_301)
+        machine.wall -= 60_000
+        assertTrue(usedByFirstRun()!! in 1_100..1_101)
+    }
+
+    /** Guards against times of a steady clock that has started anew. */
+    @Test
+    fun markOfAnEarlierStartOfTheMachineBoundsNothing() {
+        writtenByFirstRun()
+        machine.steady = 10
+        assertNull(usedByFirstRun())
+        machine.steady = 51_000
+        machine.boot = "boot-2"
+        assertNull(usedByFirstRun())
+    }
+
+    /** Guards against a machine of the same name elsewhere, beside which the old one may run on. */
+    @Test
+    fun markOfAnotherAddressBoundsNothing() {
+        writtenByFirstRun()
+        machine.advance(100)
+        assertNull(usedByFirstRun(address = "10.0.0.2:80"))
+    }
+
+    /** Guards against bounds that grow, or get lost, while a run's slices wait to be closed. */
+    @Test
+    fun boundsOfEndedRunsAreKeptByLaterOnes() = runBlocking {
+        writtenByFirstRun()
+        machine.advance(1_000)
+        val second = marks("b")
+        assertTrue(second.read())
+        val used = second.usedAtMost(first)
+        second.write(mark, machine.steady.milliseconds)
+        machine.advance(60_000)
+        val third = marks("c")
+        assertTrue(third.read())
+        assertEquals(used, third.usedAtMost(first))
+        assertNull(third.usedAtMost(RouterId("edge-1/b"))?.get(customer))
+    }
+
+    @Test
+    fun writeAfterALostAnswerFindsItsOwnMark() = runBlocking {
+        val marks = marks("a")
+        assertTrue(marks.read())
+        store.loseAnswers = true
+        assertEquals(MarkResult.UNKNOWN, marks.write(mark, machine.steady.milliseconds))
+        store.loseAnswers = false
+        assertEquals(MarkResult.UNKNOWN, marks.write(mark, machine.steady.milliseconds))
+        assertEquals(MarkResult.APPLIED, marks.write(mark, machine.steady.milliseconds))
+    }
+
+    /** Guards against an old run that writes over the marks of the one that followed it. */
+    @Test
+    fun oldRunSeesThatItWasFollowed() = runBlocking {
+        val old = marks("a")
+        assertTrue(old.read())
+        val next = marks("b")
+        assertTrue(next.read())
+        next.write(mark, machine.steady.milliseconds)
+        assertEquals(MarkResult.TAKEN_OVER, old.write(mark, machine.steady.milliseconds))
+    }
+
+    @Test
+    fun unreadableMarksBoundNothing() {
+        writtenByFirstRun()
+        val key = store.values.keys.single()
+        store.values[key] = store.values.getValue(key).copy(value = "{")
+        assertNull(usedByFirstRun())
+    }
+}
