--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
@@ -5,7 +5,6 @@
 
 import kotlin.time.Duration
 import org.hemlockpond.core.ErrorKind
-import org.hemlockpond.core.RequestId
 
 /** The end of one attempt at an endpoint. */
 sealed interface AttemptEnd {
@@ -61,6 +60,3 @@
     /** Tell the other hosts that endpoints crashed [crashes] times under this content. */
     data class RecordCrash(override val request: EntryRequest, val crashes: Int) : EntryAction
 }
-
-/** A request in the log and metrics. */
-val EntryAction.id: RequestId get() = request.id
