Keep a new run from taking a late mark for a takeover, and name the demand start

Cause: a write that a killed router sent may take effect after the next run has read the marks; the new run then found a mark without itself and would have ended. It takes the late mark over now (test lateWriteOfTheRunBeforeIsNoTakeover).

The time over which first tokens are averaged is a setting: shortened for everybody, it made schedule -346 of BudgetPropertyTest refuse a request as exhausted with 589 tokens free.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -42,7 +42,7 @@
     settings: BudgetSettings,
     val created: Duration
 ) {
-    val demand = Demand(settings.demandSpan)
+    val demand = Demand(settings.demandSpan, settings.demandStart)
     val waiting = ArrayList<Waiter>(0)
     val lentTo = HashMap<RouterId, Long>(0)
     val borrowedFrom = HashMap<RouterId, Long>(0)
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -22,6 +22,8 @@
  * @property placedShare share of the remaining tokens that is granted ahead of use
  * @property holdSpan the longest span of its own demand that a holder keeps ahead of use
  * @property demandSpan time constant of the demand average
+ * @property demandStart the time over which the first tokens are averaged, as long as less has
+ *   passed
  * @property endHorizon when the remaining tokens cover less than this span of the demand of all
  *   holders, grants shrink to [endSpan] of demand and the rest stays in the record
  * @property endSpan the span of demand that a grant covers near the end of a budget
@@ -46,6 +48,7 @@
     val placedShare: Double = 0.95,
     val holdSpan: Duration = Duration.INFINITE,
     val demandSpan: Duration = 2.minutes,
+    val demandStart: Duration = 10.seconds,
     val endHorizon: Duration = 1.minutes,
     val endSpan: Duration = 1.seconds,
     val storeTimeout: Duration = 1.seconds,
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Demand.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Demand.kt
@@ -7,10 +7,15 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 
-/** Measures the demand of one customer at one router. */
-internal class Demand(span: Duration) {
+/**
+ * Measures the demand of one customer at one router.
+ *
+ * @param start the time over which the first tokens are averaged; a shorter time would turn the
+ *   first large request into a huge rate
+ */
+internal class Demand(span: Duration, start: Duration) {
     private val spanSeconds = span.toDouble(DurationUnit.SECONDS)
-    private val minWeight = minOf(MIN_WEIGHT_SECONDS, spanSeconds / MIN_WEIGHT_PART)
+    private val minWeight = start.toDouble(DurationUnit.SECONDS)
     private var tokens = 0.0
     private var weight = 0.0
     private var last: Duration? = null
@@ -34,12 +39,4 @@
         tokens *= factor
         weight = weight * factor + spanSeconds * (1 - factor)
     }
-
-    private companion object {
-        // A shorter time would turn the first large request into a huge rate.
-        const val MIN_WEIGHT_SECONDS = 10.0
-
-        /** Keeps that time below a short span, so that a new holder learns its demand in time. */
-        const val MIN_WEIGHT_PART = 4
-    }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -25,6 +25,7 @@
     placedShare = 0.3,
     holdSpan = 1.hours,
     demandSpan = 8.seconds,
+    demandStart = 2.seconds,
     endHorizon = 3.seconds,
     endSpan = 200.milliseconds,
     knownFor = 500.milliseconds,
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetPropertyTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetPropertyTest.kt
@@ -1,5 +1,7 @@
 package org.hemlockpond.core.budget
 
+import kotlin.test.Test
+import kotlin.time.Duration.Companion.milliseconds
 import net.jqwik.api.EdgeCasesMode
 import net.jqwik.api.ForAll
 import net.jqwik.api.Property
@@ -35,6 +37,13 @@
         }
     }
 
+    /** A schedule that once led to a refusal as exhausted while tokens were free. */
+    @Test
+    fun refusalIsTrueWithAShortDemandStart() {
+        val settings = testSettings.copy(demandStart = 500.milliseconds)
+        BudgetWorld(seed = -346, settings = settings).run()
+    }
+
     private fun run(seed: Long) {
         try {
             BudgetWorld(seed, calm = seed % CALM_EVERY == 0L).run()
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
@@ -54,6 +54,9 @@
 ) {
     private val key = PREFIX + self.value.substringBefore('/')
     private var revision: Long? = null
+
+    /** Whether the store is known to have had a mark of this run. */
+    private var stored = false
     private var earlier: Map<RouterId, RunMark> = emptyMap()
 
     /** Whether the marks of earlier runs have been read. */
@@ -62,22 +65,25 @@
     /** Reads the marks of earlier runs; false if the store didn't answer. */
     suspend fun read(): Boolean {
         val read = store.read(key) as? ReadResult.Values ?: return false
-        val stored = read.values.firstOrNull { it.key == key }
-        stored?.let { decode(it) }?.let { earlier = ended(it) }
-        revision = stored?.revision ?: 0
+        take(read.values.firstOrNull { it.key == key })
         return true
     }
 
+    private fun take(value: StoredValue?) {
+        earlier = value?.let { decode(it) }?.let { ended(it) }.orEmpty()
+        revision = value?.revision ?: 0
+    }
+
     /** What an earlier run on this host has used at most, by customer; null if that is unknown. */
     fun usedAtMost(run: RouterId): Map<CustomerId, Long>? =
         earlier[run]?.mark?.use?.mapValues { it.value.used }
 
     /** The greatest use of runs that have ended by now; their marks no longer grow. */
-    private fun ended(stored: StoredMarks): Map<RouterId, RunMark> {
-        if (stored.address != address || stored.boot != machine.boot) return emptyMap()
+    private fun ended(marks: StoredMarks): Map<RouterId, RunMark> {
+        if (marks.address != address || marks.boot != machine.boot) return emptyMap()
         val steady = machine.steadyMillis()
         val wall = machine.wallMillis()
-        return stored.runs.entries.toList().takeLast(MAX_RUNS).mapNotNull { (run, mark) ->
+        return marks.runs.entries.toList().takeLast(MAX_RUNS).mapNotNull { (run, mark) ->
             // The steady clock went back: the machine has started anew.
             if (steady < mark.at) return@mapNotNull null
             val elapsed = maxOf(steady - mark.at, wall - mark.wall).milliseconds
@@ -96,6 +102,7 @@
         return when (val result = store.commit(listOf(ConditionalWrite(key, expected, text)))) {
             is WriteResult.Applied -> {
                 revision = result.revision
+                stored = true
                 MarkResult.APPLIED
             }
 
@@ -105,18 +112,28 @@
         }
     }
 
-    /** An earlier write of this run has taken effect unseen, or another run has taken over. */
     private fun conflict(current: StoredValue?): MarkResult {
-        val runs = current?.let { decode(it) }?.runs.orEmpty()
-        if (self !in runs) return MarkResult.TAKEN_OVER
-        revision = current?.revision
+        // The writer comes last.
+        val writer = current?.let { decode(it) }?.runs?.keys?.lastOrNull()
+        when {
+            // An earlier write of this run has taken effect unseen.
+            writer == self -> {
+                stored = true
+                revision = current?.revision
+            }
+
+            stored -> return MarkResult.TAKEN_OVER
+
+            // A write that the run before sent has taken effect since the read.
+            else -> take(current)
+        }
         return MarkResult.UNKNOWN
     }
 
-    private fun decode(stored: StoredValue): StoredMarks? = try {
-        json.decodeFromString(StoredMarks.serializer(), stored.value)
+    private fun decode(value: StoredValue): StoredMarks? = try {
+        json.decodeFromString(StoredMarks.serializer(), value.value)
     } catch (e: SerializationException) {
-        log(LogEvent.RECORD_INVALID, "key" to stored.key, cause = e)
+        log(LogEvent.RECORD_INVALID, "key" to value.key, cause = e)
         null
     }
 
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/HostMarksTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/HostMarksTest.kt
@@ -174,12 +174,26 @@
     fun oldRunSeesThatItWasFollowed() = runBlocking {
         val old = marks("a")
         assertTrue(old.read())
+        old.write(mark, machine.steady.milliseconds)
         val next = marks("b")
         assertTrue(next.read())
         next.write(mark, machine.steady.milliseconds)
         assertEquals(MarkResult.TAKEN_OVER, old.write(mark, machine.steady.milliseconds))
     }
 
+    /** Guards against a new run that takes a late write of the one before for a newer run. */
+    @Test
+    fun lateWriteOfTheRunBeforeIsNoTakeover() = runBlocking {
+        val old = marks("a")
+        assertTrue(old.read())
+        val next = marks("b")
+        assertTrue(next.read())
+        assertEquals(MarkResult.APPLIED, old.write(mark, machine.steady.milliseconds))
+        assertEquals(MarkResult.UNKNOWN, next.write(mark, machine.steady.milliseconds))
+        assertEquals(MarkResult.APPLIED, next.write(mark, machine.steady.milliseconds))
+        assertTrue(next.usedAtMost(first)!!.getValue(customer) >= 1_000)
+    }
+
     @Test
     fun unreadableMarksBoundNothing() {
         writtenByFirstRun()
