Split large files and share what stood twice

HttpListener binds all HTTP ports, decodeRecord reads all stored records (fields of newer versions are ignored on entry hosts too), IdleLimits, RelayTable, AccountTimers and Coverage have files of their own.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -6,7 +6,6 @@
  */
 package org.hemlockpond.core.budget
 
-import java.util.PriorityQueue
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import org.hemlockpond.core.CustomerId
@@ -16,21 +15,6 @@
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
 
-/**
- * What a router knows of one budget.
- *
- * @property free tokens of its slice that aren't reserved
- * @property allowed those of them that its marks allow now
- * @property recorded tokens that no slice held when the record was last seen
- * @property recordAge how long ago that was
- */
-data class BudgetState(
-    val free: Long,
-    val allowed: Long,
-    val recorded: Long,
-    val recordAge: Duration
-)
-
 /** The budget component of the router [self], which runs in [domain]. */
 class BudgetHolder(
     private val self: RouterId,
@@ -39,15 +23,14 @@
 ) {
     private class Reservation(val account: Account, val tokens: Long)
 
-    private class Timer(val at: Duration, val account: Account)
-
     private val actions = ArrayList<BudgetAction>()
     private val accounts = HashMap<CustomerId, Account>()
     private val reservations = HashMap<RequestId, Reservation>()
-    private val timers = PriorityQueue<Timer>(compareBy { it.at })
+    private val timers = AccountTimers()
     private val lease = Lease(settings)
     private val placement = Placement(self, domain, settings)
     private val sliceWriter = SliceWriter(self, domain, settings, placement)
+    private val coverage = Coverage(self, settings)
     private val dead = DeadRouters(settings)
     private val marks = settings.marks?.let { SpendMarks(it) }
     private val lending = Lending(domain, settings, placement) { to, message ->
@@ -185,12 +168,8 @@
     private fun runEnded(event: BudgetEvent.RunEnded) {
         if (event.router == self) return
         dead.ended(event.router, event.usedAtMost, time)
-        closeSlicesOf(event.router)
-    }
-
-    private fun closeSlicesOf(router: RouterId) {
         for (account in accounts.values) {
-            if (router !in account.record.slices) continue
+            if (event.router !in account.record.slices) continue
             account.mustRead = true
             work(account)
         }
@@ -254,13 +233,8 @@
 
     private fun tick() {
         lending.tick(time)
-        mark(account = null)
-        while (timers.isNotEmpty() && timers.peek().at <= time) {
-            val timer = timers.poll()
-            if (timer.account.timer != timer.at) continue
-            timer.account.timer = null
-            work(timer.account)
-        }
+        mark(urgent = false)
+        while (true) work(timers.takeDue(time) ?: break)
         checkDrained()
     }
 
@@ -287,7 +261,7 @@
     /** Does everything that can be done for [account] now, and sets its timer. */
     private fun work(account: Account) {
         serve(account)
-        mark(account)
+        if (heldByMark(account)) mark(urgent = true)
         expire(account)
         account.expireCalls(time, settings.storeTimeout)
         if (readDue(account)) {
@@ -295,7 +269,7 @@
             account.lastRead = time
             actions += BudgetAction.ReadRecord(account.customer)
         }
-        if (account.shortage > 0 && maySpend() && !coveredByRecord(account)) {
+        if (account.shortage > 0 && maySpend() && !probablyStored(account)) {
             lending.ask(account, time)
         }
         setTimer(account)
@@ -305,15 +279,15 @@
     private fun allowed(account: Account, at: Duration): Long =
         minOf(account.free, marks?.allowance(account, at) ?: Long.MAX_VALUE)
 
-    /** Writes a mark; at once if only the last one keeps a request of [account] waiting. */
-    private fun mark(account: Account?) {
+    private fun mark(urgent: Boolean) {
         if (marks == null || !storeReachable || fenced) return
-        val urgent = account?.waiting?.any { it.tokens <= account.free } ?: false
-        if (urgent || account == null) {
-            if (marks.due(urgent, time)) marks.next(accounts.values, time)?.let { actions += it }
-        }
+        if (marks.due(urgent, time)) marks.next(accounts.values, time)?.let { actions += it }
     }
 
+    /** Only the last mark keeps a request waiting that the slice covers. */
+    private fun heldByMark(account: Account): Boolean =
+        account.waiting.any { it.tokens <= account.free }
+
     private fun serve(account: Account) {
         if (account.waiting.isEmpty() || !maySpend()) return
         val waiters = account.waiting.iterator()
@@ -330,26 +304,14 @@
     /** Refuses the requests that the whole budget doesn't cover and those that waited too long. */
     private fun expire(account: Account) {
         if (account.waiting.isEmpty()) return
-        val exhausted = account.waiting.filter { exhausted(account, it) }
+        val exhausted = account.waiting.filter { coverage.exhausted(account, it) }
         refuse(account, exhausted, ErrorKind.BUDGET_EXHAUSTED)
-        val late = account.waiting.filter { it.deadline <= time || unavailable(account, it) }
+        val late = account.waiting.filter {
+            it.deadline <= time || coverage.unavailable(account, it)
+        }
         refuse(account, late, ErrorKind.BUDGET_UNREACHABLE)
     }
 
-    /** A record that was read recently doesn't cover the request, even with all other slices. */
-    private fun exhausted(account: Account, waiter: Waiter): Boolean =
-        account.knownAt >= waiter.since - settings.knownFor &&
-            account.remainingAtMost < waiter.tokens
-
-    /**
-     * A record that was read just before the request or since leaves too little for it. Without peers to lend
-     * the tokens of other slices, it would wait in vain.
-     */
-    private fun unavailable(account: Account, waiter: Waiter): Boolean =
-        settings.peerless && account.knownAt >= waiter.since - settings.readInterval &&
-            account.record.slices.keys.any { it != self } &&
-            account.free + account.record.available < waiter.tokens
-
     private fun refuse(account: Account, waiters: List<Waiter>, kind: ErrorKind) {
         if (waiters.isEmpty()) return
         account.waiting.removeAll(waiters)
@@ -359,13 +321,8 @@
         }
     }
 
-    /** The store can probably answer what is short, so that no loan is needed. */
-    private fun coveredByRecord(account: Account): Boolean {
-        if (!storeReachable) return false
-        val fresh = account.knownAt >= time - settings.knownFor
-        if (fresh) return account.record.available >= account.shortage
-        return account.reading?.let { time - it < settings.loanAnswer } ?: false
-    }
+    private fun probablyStored(account: Account): Boolean =
+        storeReachable && coverage.probablyStored(account, time)
 
     private fun readDue(account: Account): Boolean {
         if (!storeReachable || account.reading != null || account.writing != null) return false
@@ -412,11 +369,7 @@
             else -> sliceWriter.nextReport(account, time)
         }
         // A timer that isn't in the future would fire again within the same tick.
-        val next = maxOf(wish ?: return, time + SOON)
-        val earlier = account.timer?.let { it > time && it <= next } ?: false
-        if (earlier) return
-        account.timer = next
-        timers += Timer(next, account)
+        if (wish != null) timers.set(account, maxOf(wish, time + SOON), time)
     }
 
     private fun send(to: RouterId, message: BudgetMessage) {
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
@@ -23,8 +23,6 @@
 ) {
     private class Task(val at: Long, val order: Long, val run: () -> Unit)
 
-    private class Stored(var revision: Long = 0, var record: BudgetRecord = BudgetRecord())
-
     private val random = Random(seed)
     private val tasks = PriorityQueue<Task>(compareBy({ it.at }, { it.order }))
     private var order = 0L
@@ -32,7 +30,7 @@
         private set
     private val domains = List(random.nextInt(1, 4)) { FailureDomain("d$it") }
     val routers = ArrayList<Router>()
-    private val store = HashMap<CustomerId, Stored>()
+    private val store = HashMap<CustomerId, StoredRecord>()
     val naive = HashMap<CustomerId, NaiveBudget>()
     private val loans = LoanBook()
     private val cutFromStore = HashSet<FailureDomain>()
@@ -53,7 +51,7 @@
     /** Runs the schedule: a busy phase with faults, then healing, closing and draining. */
     fun run() {
         for (customer in customers) {
-            store[customer] = Stored()
+            store[customer] = StoredRecord()
             naive[customer] = NaiveBudget()
             pay(customer)
         }
@@ -373,13 +371,9 @@
     }
 
     private fun swap(action: BudgetAction.WriteRecord): WriteOutcome {
-        val stored = store.getValue(action.customer)
-        if (stored.revision != action.expectedRevision) return WriteOutcome.Conflict
-        check(action.record.available >= 0) { "${action.record} grants more than was paid" }
-        stored.record = action.record
-        stored.revision++
-        noteUnreachable(action.customer)
-        return WriteOutcome.Applied(stored.revision)
+        val outcome = store.getValue(action.customer).swap(action)
+        if (outcome is WriteOutcome.Applied) noteUnreachable(action.customer)
+        return outcome
     }
 
     /** Notes the free tokens that nobody holds: lost loans and charges beyond the use. */
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorldParts.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorldParts.kt
@@ -44,6 +44,18 @@
     }
 }
 
+/** A budget record as the store keeps it. */
+internal class StoredRecord(var revision: Long = 0, var record: BudgetRecord = BudgetRecord()) {
+    /** Writes by compare-and-swap. */
+    fun swap(action: BudgetAction.WriteRecord): WriteOutcome {
+        if (revision != action.expectedRevision) return WriteOutcome.Conflict
+        check(action.record.available >= 0) { "${action.record} grants more than was paid" }
+        record = action.record
+        revision++
+        return WriteOutcome.Applied(revision)
+    }
+}
+
 internal class Ask(val customer: CustomerId, val tokens: Long, val used: Long, val at: Long)
 
 /** All loans by their messages. */
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/Arrivals.kt
@@ -0,0 +1,32 @@
+package org.hemlockpond.core.entry
+
+import kotlin.math.ln
+import kotlin.random.Random
+
+/** The requests of a day: callers keep their connections, so one host gets a third of them. */
+internal class Arrivals(private val random: Random) {
+    fun host(): Int {
+        var rest = random.nextInt(HOST_WEIGHTS.sum())
+        return HOST_WEIGHTS.indexOfFirst { weight ->
+            rest -= weight
+            rest < 0
+        }
+    }
+
+    /** Most prompts are short, a few are very long. */
+    fun promptTokens(): Long =
+        (MIN_TOKENS + MORE_TOKENS * exponential()).toLong().coerceAtMost(MAX_TOKENS)
+
+    /** The time to the next request. */
+    fun gapMillis(perSecond: Double): Double = exponential() * 1_000 / perSecond
+
+    private fun exponential(): Double = -ln(1 - random.nextDouble())
+
+    private companion object {
+        /** Requests of each host, in a hundred. */
+        val HOST_WEIGHTS = listOf(35, 10, 9, 5, 5, 9, 9, 18)
+        const val MIN_TOKENS = 3_000
+        const val MORE_TOKENS = 9_000
+        const val MAX_TOKENS = 60_000L
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -96,7 +96,7 @@
     private val outside = RouterOutside()
     private val decisions = Control(components, state, clock, outside)
     private val endpoints = EndpointClient(trafficGroup, Attempts())
-    private val relays = RelayTable()
+    private val relays = RelayTable(::control) { flows }
     private val readers = SlowReaders(StreamWindow(streamSettings()), clock, relays)
     private val flows = RequestFlows(
         state,
@@ -309,35 +309,6 @@
         }
     }
 
-    /** The open relays by request; used on the traffic thread. */
-    private inner class RelayTable :
-        RelayListener,
-        SlowReaders.StreamControl {
-        private val open = HashMap<RequestId, AnswerRelay>()
-
-        fun put(request: RequestId, relay: AnswerRelay) {
-            open.putIfAbsent(request, relay)
-        }
-
-        override fun closed(request: RequestId, relay: AnswerRelay) {
-            open.remove(request, relay)
-        }
-
-        override fun firstToken(attempt: AttemptId) = control { flows.firstToken(attempt) }
-
-        override fun progress(attempt: AttemptId, answerTokens: Long) =
-            control { flows.progress(attempt, answerTokens) }
-
-        override fun cancelAtEngine(request: RequestId) {
-            val relay = open[request] ?: return
-            relay.cancelUpstream()
-            val delivered = relay.delivered
-            control { flows.cancelAtEngine(request, delivered) }
-        }
-
-        override fun resume(request: RequestId) = control { flows.resume(request) }
-    }
-
     private inner class Attempts : AttemptListener {
         override fun sending(attempt: AttemptId) = control { flows.sending(attempt) }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/caller/CallerServer.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/caller/CallerServer.kt
@@ -4,16 +4,12 @@
  */
 package org.hemlockpond.router.caller
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpMessage
 import io.netty.handler.codec.http.HttpObjectAggregator
@@ -21,6 +17,8 @@
 import io.netty.handler.ssl.SslContext
 import java.net.InetSocketAddress
 import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.router.callerOptions
+import org.hemlockpond.router.listen
 import org.hemlockpond.settings.LimitSettings
 
 /** Accepts callers on one address. */
@@ -36,25 +34,16 @@
 
     /** Binds the address and returns the port. */
     fun start(): Int {
-        channel = ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .option(ChannelOption.SO_BACKLOG, BACKLOG)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            // Data for a slow reader waits in the stream window, not in the kernel.
-            .childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
-            .childOption(
-                ChannelOption.WRITE_BUFFER_WATER_MARK,
-                WriteBufferWaterMark(SEND_BUFFER_BYTES / 2, SEND_BUFFER_BYTES)
-            )
-            .childHandler(
-                object : ChannelInitializer<SocketChannel>() {
-                    override fun initChannel(channel: SocketChannel) = configure(channel)
-                }
-            )
-            .bind(address)
-            .sync()
-            .channel()
+        channel = listen(
+            address,
+            group,
+            options = {
+                callerOptions(SEND_BUFFER_BYTES)
+                // Data for a slow reader waits in the stream window, not in the kernel.
+                childOption(ChannelOption.SO_SNDBUF, SEND_BUFFER_BYTES)
+            },
+            accept = ::configure
+        )
         return (channel.localAddress() as InetSocketAddress).port
     }
 
@@ -100,7 +89,6 @@
     }
 
     private companion object {
-        const val BACKLOG = 1_024
         const val SEND_BUFFER_BYTES = 32 * 1024
     }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -11,8 +11,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FailureDomain
@@ -28,6 +26,8 @@
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.decodeRecord
+import org.hemlockpond.router.encodeRecord
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
@@ -278,19 +278,13 @@
         ConditionalWrite(
             BudgetRecord.key(customer),
             revision,
-            json.encodeToString(BudgetRecord.serializer(), record)
+            encodeRecord(BudgetRecord.serializer(), record)
         )
 
-    private fun decode(stored: StoredValue): BudgetRecord? = try {
-        json.decodeFromString(BudgetRecord.serializer(), stored.value)
-    } catch (e: SerializationException) {
-        log(LogEvent.RECORD_INVALID, "key" to stored.key, cause = e)
-        null
-    }
+    private fun decode(stored: StoredValue): BudgetRecord? =
+        decodeRecord(BudgetRecord.serializer(), stored.key, stored.value)
 
     private companion object {
-        val json = Json { encodeDefaults = false }
-
         /** Records in one transaction; the store accepts no more than 32 entries. */
         const val MAX_WRITES = 16
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -4,15 +4,10 @@
  */
 package org.hemlockpond.router.entry
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.ByteBuf
 import io.netty.channel.Channel
-import io.netty.channel.ChannelInitializer
-import io.netty.channel.ChannelOption
 import io.netty.channel.EventLoopGroup
-import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpServerCodec
@@ -30,7 +25,6 @@
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
-import org.hemlockpond.core.entry.CallerLimits
 import org.hemlockpond.core.entry.DirectoryChange
 import org.hemlockpond.core.entry.EndpointDirectory
 import org.hemlockpond.core.entry.EntryConfig
@@ -40,6 +34,8 @@
 import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.RouterMetrics
 import org.hemlockpond.router.SystemClock
+import org.hemlockpond.router.callerOptions
+import org.hemlockpond.router.listen
 import org.hemlockpond.router.log
 import org.hemlockpond.store.KeyValueStore
 
@@ -83,9 +79,7 @@
     private val fleet = EntryStore(store, format, settings, scope, Fleet())
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
-
-    /** The limits that callers may still go by, with the time until which each holds. */
-    private val recentLimits = ArrayList<Pair<CallerLimits, Duration>>()
+    private val idleLimits = IdleLimits(DEFAULT_IDLE, LIMITS_OVERLAP)
     private var config: EntryConfig? = null
     private var endpointsKnown = false
     private var storeReachable = true
@@ -103,7 +97,12 @@
         listeners += StatusServer(settings.metrics, group, "/metrics") {
             StatusPage(OK, metrics.scrape())
         }.start()
-        listeners += listen()
+        listeners += listen(
+            settings.callers,
+            group,
+            options = { callerOptions(CALLER_BUFFER_BYTES) },
+            accept = ::accept
+        )
         gauges()
         loop.execute {
             budgets.start()
@@ -128,24 +127,6 @@
         metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
 
-    private fun listen(): Channel = ServerBootstrap()
-        .group(group)
-        .channel(NioServerSocketChannel::class.java)
-        .option(ChannelOption.SO_BACKLOG, BACKLOG)
-        .childOption(ChannelOption.TCP_NODELAY, true)
-        .childOption(
-            ChannelOption.WRITE_BUFFER_WATER_MARK,
-            WriteBufferWaterMark(CALLER_BUFFER_BYTES / 2, CALLER_BUFFER_BYTES)
-        )
-        .childHandler(
-            object : ChannelInitializer<SocketChannel>() {
-                override fun initChannel(channel: SocketChannel) = accept(channel)
-            }
-        )
-        .bind(settings.callers)
-        .sync()
-        .channel()
-
     private fun accept(channel: SocketChannel) {
         val bytes = config?.limits?.maxHeaderBytes ?: DEFAULT_HEADER_BYTES
         val decoder = HttpDecoderConfig()
@@ -290,9 +271,7 @@
             val known = this@EntryRouter.config
             if (known != null && config.version <= known.version) return
             this@EntryRouter.config = config
-            val now = clock.now().elapsed
-            known?.let { recentLimits += it.limits to now + LIMITS_OVERLAP }
-            recentLimits.removeAll { it.second < now }
+            idleLimits.changed(config.limits.idleTimeout, clock.now().elapsed)
             requests.configChanged(config)
             budgets.configChanged(config)
             log(
@@ -339,17 +318,9 @@
         override val closing: Boolean get() = stopping || isCutOff
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
-        /** A caller may still go by a limit that was just replaced. */
-        override val idleTimeout: Duration
-            get() {
-                val now = clock.now().elapsed
-                val recent = recentLimits.filter { it.second > now }.map { it.first.idleTimeout }
-                return maxOf(recent.maxOrNull() ?: Duration.ZERO, limits()?.idleTimeout ?: IDLE)
-            }
-
-        override val headerTimeout: Duration get() = limits()?.headerTimeout ?: IDLE
-
-        private fun limits(): CallerLimits? = config?.limits
+        override val idleTimeout: Duration get() = idleLimits.longest(now())
+        override val headerTimeout: Duration
+            get() = config?.limits?.headerTimeout ?: DEFAULT_IDLE
 
         override fun received(
             connection: CallerConnection,
@@ -379,7 +350,6 @@
         const val OK = 200
         const val UNAVAILABLE = 503
         const val EXIT_FENCED = 5
-        const val BACKLOG = 1_024
 
         /** Characters of a run's id; distinguishes the runs on one host. */
         const val RUN_ID = 8
@@ -387,7 +357,7 @@
         /** Before the first configuration. */
         const val DEFAULT_HEADER_BYTES = 16 * 1024
         const val DEFAULT_BODY_BYTES = 4 * 1024 * 1024
-        val IDLE = 15.seconds
+        val DEFAULT_IDLE = 15.seconds
 
         /** What waits for a slow reader before its endpoint is stopped. */
         const val CALLER_BUFFER_BYTES = 32 * 1024
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
@@ -8,13 +8,13 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.budget.SpendMark
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.decodeRecord
+import org.hemlockpond.router.encodeRecord
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
@@ -98,7 +98,7 @@
         val age = (clock.now().elapsed - at).inWholeMilliseconds + 1
         val own = RunMark(machine.steadyMillis() - age, machine.wallMillis() - age, mark)
         val next = StoredMarks(address, machine.boot, earlier + (self to own))
-        val text = json.encodeToString(StoredMarks.serializer(), next)
+        val text = encodeRecord(StoredMarks.serializer(), next)
         return when (val result = store.commit(listOf(ConditionalWrite(key, expected, text)))) {
             is WriteResult.Applied -> {
                 revision = result.revision
@@ -130,16 +130,11 @@
         return MarkResult.UNKNOWN
     }
 
-    private fun decode(value: StoredValue): StoredMarks? = try {
-        json.decodeFromString(StoredMarks.serializer(), value.value)
-    } catch (e: SerializationException) {
-        log(LogEvent.RECORD_INVALID, "key" to value.key, cause = e)
-        null
-    }
+    private fun decode(value: StoredValue): StoredMarks? =
+        decodeRecord(StoredMarks.serializer(), value.key, value.value)
 
     private companion object {
         const val PREFIX = "hemlockpond/marks/"
-        val json = Json { encodeDefaults = false }
 
         /** Runs whose slices may not be closed yet; a store outage can span several restarts. */
         const val MAX_RUNS = 4
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/StatusServer.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/StatusServer.kt
@@ -3,16 +3,12 @@
  */
 package org.hemlockpond.router.entry
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
@@ -22,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import java.net.InetSocketAddress
+import org.hemlockpond.router.listen
 
 /** A page of a [StatusServer]. */
 internal class StatusPage(val status: Int, val text: String)
@@ -32,19 +29,9 @@
     private val path: String,
     private val page: () -> StatusPage
 ) {
-    fun start(): Channel = ServerBootstrap()
-        .group(group)
-        .channel(NioServerSocketChannel::class.java)
-        .childHandler(
-            object : ChannelInitializer<SocketChannel>() {
-                override fun initChannel(channel: SocketChannel) {
-                    channel.pipeline().addLast(HttpServerCodec(), Pages())
-                }
-            }
-        )
-        .bind(address)
-        .sync()
-        .channel()
+    fun start(): Channel = listen(address, group) { channel ->
+        channel.pipeline().addLast(HttpServerCodec(), Pages())
+    }
 
     private inner class Pages : SimpleChannelInboundHandler<HttpObject>() {
         override fun channelRead0(context: ChannelHandlerContext, message: HttpObject) {
--- a/router/src/main/kotlin/org/hemlockpond/router/operator/OperatorServer.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/operator/OperatorServer.kt
@@ -3,16 +3,12 @@
  */
 package org.hemlockpond.router.operator
 
-import io.netty.bootstrap.ServerBootstrap
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
-import io.netty.channel.ChannelInitializer
 import io.netty.channel.EventLoopGroup
 import io.netty.channel.SimpleChannelInboundHandler
-import io.netty.channel.socket.SocketChannel
-import io.netty.channel.socket.nio.NioServerSocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -28,6 +24,7 @@
 import kotlinx.serialization.json.put
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.listen
 import org.hemlockpond.router.log
 
 /**
@@ -46,25 +43,15 @@
 
     /** Binds the address and returns the port. */
     fun start(): Int {
-        channel = ServerBootstrap()
-            .group(group)
-            .channel(NioServerSocketChannel::class.java)
-            .childHandler(
-                object : ChannelInitializer<SocketChannel>() {
-                    override fun initChannel(channel: SocketChannel) {
-                        tls?.let { channel.pipeline().addLast(it.newHandler(channel.alloc())) }
-                        channel.pipeline().addLast(
-                            ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
-                            HttpServerCodec(),
-                            HttpObjectAggregator(MAX_BODY_BYTES),
-                            Handler()
-                        )
-                    }
-                }
+        channel = listen(address, group) { accepted ->
+            tls?.let { accepted.pipeline().addLast(it.newHandler(accepted.alloc())) }
+            accepted.pipeline().addLast(
+                ReadTimeoutHandler(READ_TIMEOUT_SECONDS),
+                HttpServerCodec(),
+                HttpObjectAggregator(MAX_BODY_BYTES),
+                Handler()
             )
-            .bind(address)
-            .sync()
-            .channel()
+        }
         return (channel.localAddress() as InetSocketAddress).port
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -12,9 +12,7 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.serialization.KSerializer
 import kotlinx.serialization.Serializable
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RequestId
@@ -36,6 +34,7 @@
 import org.hemlockpond.router.Decisions
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.decodeRecord
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.EtcdStore
@@ -85,7 +84,7 @@
         seen(read !is ReadResult.Unavailable)
         val values = (read as? ReadResult.Values)?.values ?: return@launch
         val stored = values.firstOrNull()
-        val record = stored?.let { decode(BudgetRecord.serializer(), it.key, it.value) }
+        val record = stored?.let { decodeRecord(BudgetRecord.serializer(), it.key, it.value) }
         if (stored != null && record == null) return@launch
         val event =
             BudgetEvent.RecordRead(action.customer, stored?.revision ?: 0, record ?: BudgetRecord())
@@ -149,7 +148,7 @@
 
             is ReadResult.Values -> {
                 val stored = read.values.firstOrNull()
-                val record = stored?.let { decode(RunRecord.serializer(), it.key, it.value) }
+                val record = stored?.let { decodeRecord(RunRecord.serializer(), it.key, it.value) }
                 when {
                     stored == null -> RunRead.Absent
                     record == null -> RunRead.Failed
@@ -169,7 +168,7 @@
 
     /** A move record from a read or a watch. */
     fun moveRead(route: RouteId, value: String?, revision: Long) {
-        val record = value?.let { decode(MoveRecord.serializer(), MoveRecord.key(route), it) }
+        val record = value?.let { decodeRecord(MoveRecord.serializer(), MoveRecord.key(route), it) }
         if (value != null && record == null) return
         post { decisions.moves(MoveEvent.RecordRead(route, record, revision)) }
     }
@@ -230,7 +229,7 @@
             read = client.read(spendKey(router))
         }
         val stored = read.values.firstOrNull()
-        val record = stored?.let { decode(SpendRecord.serializer(), it.key, it.value) }
+        val record = stored?.let { decodeRecord(SpendRecord.serializer(), it.key, it.value) }
         val epoch = if (stored == null) 0 else record?.epoch ?: Long.MAX_VALUE
         post { done(epoch) }
     }
@@ -250,16 +249,6 @@
         }
     }
 
-    private fun <T> decode(type: KSerializer<T>, key: String, value: String): T? = try {
-        json.decodeFromString(type, value)
-    } catch (e: SerializationException) {
-        log(LogEvent.RECORD_INVALID, "key" to key, "reason" to e.message?.lineSequence()?.first())
-        null
-    } catch (e: IllegalArgumentException) {
-        log(LogEvent.RECORD_INVALID, "key" to key, "reason" to e.message?.lineSequence()?.first())
-        null
-    }
-
     private val WriteResult.answered: Boolean
         get() = this is WriteResult.Applied || this is WriteResult.Conflict
 
@@ -267,10 +256,7 @@
         /** One lost answer is common; two in a row are an outage. */
         private const val FAILURES_UNREACHABLE = 2
 
-        private val json = Json {
-            ignoreUnknownKeys = true
-            encodeDefaults = true
-        }
+        private val json = Json { encodeDefaults = true }
 
         private val RETRY = 1.seconds
 
