Let each answer of a read carry the time of its question

After two reads were given up, the first late answer was rightly taken as old, but the second as the answer to the read under way. A record of seconds ago counted as new, hid a payment, and a request was refused as exhausted. The same could happen to an entry host that was frozen during an outage. Ruled out by the trace: loans (all were in the record) and the payments' own writes.

lateAnswersAreAsOldAsTheirQuestions fails on the code before.

--- a/bench/src/main/kotlin/org/hemlockpond/bench/BudgetSlopes.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/BudgetSlopes.kt
@@ -76,7 +76,7 @@
             val record = BudgetRecord(mapOf("payment-$i" to 1_000_000L), 0, others)
             val request = RequestId("request-$i")
             holder.handle(BudgetEvent.Reserve(request, customer, 100), now)
-            val read = BudgetEvent.RecordRead(customer, 1, record)
+            val read = BudgetEvent.RecordRead(customer, now.elapsed, 1, record)
             val write = holder.handle(read, now)
                 .filterIsInstance<BudgetAction.WriteRecord>().first()
             val applied = WriteOutcome.Applied(2)
--- a/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
+++ b/bench/src/main/kotlin/org/hemlockpond/bench/EscrowPolicy.kt
@@ -103,7 +103,7 @@
 
             is BudgetAction.Refused -> answers.remove(action.request)?.invoke(false)
 
-            is BudgetAction.ReadRecord -> read(router, action.customer)
+            is BudgetAction.ReadRecord -> read(router, action)
 
             is BudgetAction.WriteRecord -> write(router, action)
 
@@ -124,12 +124,18 @@
         }
     }
 
-    private fun read(router: Int, customer: CustomerId) {
+    private fun read(router: Int, action: BudgetAction.ReadRecord) {
+        val customer = action.customer
         if (isCut(router)) return
         cost.storeReads++
         clock.after(STORE_MILLIS) {
             val stored = stored(customer)
-            val event = BudgetEvent.RecordRead(customer, stored.revision, stored.record)
+            val event = BudgetEvent.RecordRead(
+                customer,
+                action.asked,
+                stored.revision,
+                stored.record
+            )
             clock.after(STORE_MILLIS) { deliver(router, event) }
         }
     }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -77,7 +77,6 @@
     var writing: PendingWrite? = null
         private set
     var reading: Duration? = null
-    private var abandonedRead: Duration? = null
     var mustRead = false
     var lastRead: Duration = -Duration.INFINITE
     var lastReport: Duration = -Duration.INFINITE
@@ -181,15 +180,9 @@
         }
     }
 
-    /**
-     * When the read was sent that is answered now. After a read was given up, the next answer may
-     * still be its late one, so that it counts as that old.
-     */
-    fun readAnswered(): Duration {
-        val sent = abandonedRead ?: reading ?: -Duration.INFINITE
-        abandonedRead = null
-        reading = null
-        return sent
+    /** The read that was [asked] for then is answered; it may have been given up before. */
+    fun readAnswered(asked: Duration) {
+        if (reading == asked) reading = null
     }
 
     /** Gives up waiting for store answers that are older than [limit]. */
@@ -199,7 +192,6 @@
             mustRead = true
         }
         if (reading?.let { now - it >= limit } == true) {
-            abandonedRead = abandonedRead ?: reading
             reading = null
             mustRead = true
         }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetAction.kt
@@ -17,8 +17,11 @@
     /** [request] gets no tokens; it wasn't run. */
     data class Refused(val request: RequestId, val kind: ErrorKind) : BudgetAction
 
-    /** Read the customer's record and answer with [BudgetEvent.RecordRead]. */
-    data class ReadRecord(val customer: CustomerId) : BudgetAction
+    /**
+     * Read the customer's record and answer with [BudgetEvent.RecordRead] and the same [asked],
+     * the time on the router's clock at which this was asked.
+     */
+    data class ReadRecord(val customer: CustomerId, val asked: Duration) : BudgetAction
 
     /**
      * Write [record] if the stored revision is still [expectedRevision] (0: doesn't exist), and
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetEvent.kt
@@ -3,6 +3,7 @@
  */
 package org.hemlockpond.core.budget
 
+import kotlin.time.Duration
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.Now
@@ -30,9 +31,13 @@
      */
     data class Credit(val customer: CustomerId, val tokens: Long) : BudgetEvent
 
-    /** The answer to [BudgetAction.ReadRecord]; [revision] is 0 if the record doesn't exist. */
+    /**
+     * The answer to the [BudgetAction.ReadRecord] with this [asked]; [revision] is 0 if the record
+     * doesn't exist. An answer that comes late is as old as its question.
+     */
     data class RecordRead(
         val customer: CustomerId,
+        val asked: Duration,
         val revision: Long,
         val record: BudgetRecord = BudgetRecord()
     ) : BudgetEvent
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -137,8 +137,8 @@
 
     private fun recordRead(event: BudgetEvent.RecordRead) {
         val account = accounts[event.customer] ?: return
-        val sent = account.readAnswered()
-        when (account.observe(event.revision, event.record, sent)) {
+        account.readAnswered(event.asked)
+        when (account.observe(event.revision, event.record, event.asked)) {
             Observation.STALE -> account.mustRead = true
 
             Observation.FENCED -> fence()
@@ -267,7 +267,7 @@
         if (readDue(account)) {
             account.reading = time
             account.lastRead = time
-            actions += BudgetAction.ReadRecord(account.customer)
+            actions += BudgetAction.ReadRecord(account.customer, asked = time)
         }
         if (account.shortage > 0 && maySpend() && !probablyStored(account)) {
             lending.ask(account, time)
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
@@ -28,13 +28,18 @@
     private var now = Now(Duration.ZERO, Instant.fromEpochSeconds(1_000))
     private var requests = 0
 
-    private fun handle(event: BudgetEvent) = holder.handle(event, now)
+    /** When the holder last asked for the record. */
+    private var asked = Duration.ZERO
+
+    private fun handle(event: BudgetEvent) = holder.handle(event, now).onEach {
+        if (it is BudgetAction.ReadRecord) asked = it.asked
+    }
 
     private fun reserve(tokens: Long, id: RequestId = RequestId("q${requests++}")) =
         handle(BudgetEvent.Reserve(id, customer, tokens))
 
     private fun read(revision: Long, record: BudgetRecord) =
-        handle(BudgetEvent.RecordRead(customer, revision, record))
+        handle(BudgetEvent.RecordRead(customer, asked, revision, record))
 
     private fun written(write: BudgetAction.WriteRecord, outcome: WriteOutcome) =
         handle(BudgetEvent.RecordWritten(customer, write.sequence, outcome))
@@ -131,10 +136,30 @@
         reserve(10)
         val write = read(1, BudgetRecord().withPayment("p", 100)).write()
         val actions = written(write, WriteOutcome.Unknown)
-        assertEquals(listOf<BudgetAction>(BudgetAction.ReadRecord(customer)), actions)
+        assertEquals(listOf<BudgetAction>(BudgetAction.ReadRecord(customer, now.elapsed)), actions)
         assertEquals(1, read(2, write.record).reservations())
     }
 
+    /** Guards against late answers that count as new and hide a payment. */
+    @Test
+    fun lateAnswersAreAsOldAsTheirQuestions() {
+        handle(BudgetEvent.LeaseRenewed(now))
+        val old = BudgetRecord(mapOf("p" to 5), closedSpent = 5)
+        reserve(10)
+        read(2, old)
+        val questions = List(2) {
+            now += 2.seconds
+            reserve(10)
+            asked
+        }
+        now += 2.seconds
+        reserve(10, request)
+        val answers = handle(BudgetEvent.RecordRead(customer, questions[0], 1, old)) +
+            handle(BudgetEvent.RecordRead(customer, questions[1], 2, old))
+        val refusals = answers.filterIsInstance<BudgetAction.Refused>()
+        assertTrue(refusals.none { it.request == request }, "$refusals")
+    }
+
     /** Guards against spend from tokens that a write without answer may return late. */
     @Test
     fun outstandingReturnLowersFreeTokens() {
@@ -210,7 +235,10 @@
         val totals = BudgetMessage.LentTotals(mapOf(customer to 5L), complete = true)
         witness.handle(BudgetEvent.PeerReceived(peer, totals), now)
         witness.handle(BudgetEvent.RouterDied(peer, copies), now)
-        val close = witness.handle(BudgetEvent.RecordRead(customer, 3, record), now).write()
+        val close = witness.handle(
+            BudgetEvent.RecordRead(customer, now.elapsed, 3, record),
+            now
+        ).write()
         assertFalse(peer in close.record.slices)
         assertEquals(11, close.record.closedSpent)
     }
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetWorld.kt
@@ -175,7 +175,7 @@
 
             is BudgetAction.Refused -> refused(router, action)
 
-            is BudgetAction.ReadRecord -> read(router, action.customer)
+            is BudgetAction.ReadRecord -> read(router, action)
 
             is BudgetAction.WriteRecord -> write(router, action)
 
@@ -341,11 +341,17 @@
         }
     }
 
-    private fun read(router: Router, customer: CustomerId) {
+    private fun read(router: Router, action: BudgetAction.ReadRecord) {
+        val customer = action.customer
         if (router.domain in cutFromStore || fault(4)) return
         at(delay()) {
             val stored = store.getValue(customer)
-            val answer = BudgetEvent.RecordRead(customer, stored.revision, stored.record)
+            val answer = BudgetEvent.RecordRead(
+                customer,
+                action.asked,
+                stored.revision,
+                stored.record
+            )
             if (!fault(4)) at(delay()) { deliver(router, answer) }
         }
     }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetWorld.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetWorld.kt
@@ -181,7 +181,7 @@
                 }
 
                 is BudgetAction.ReadRecord -> call(host) {
-                    handle(host, BudgetEvent.RecordRead(customer, revision, record))
+                    handle(host, BudgetEvent.RecordRead(customer, action.asked, revision, record))
                 }
 
                 is BudgetAction.WriteRecord -> call(host) { write(host, action) }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -125,7 +125,7 @@
 
                 is BudgetAction.Refused -> listener.refused(action.request, action.kind)
 
-                is BudgetAction.ReadRecord -> read(action.customer)
+                is BudgetAction.ReadRecord -> read(action)
 
                 is BudgetAction.WriteRecord -> write(action)
 
@@ -141,13 +141,13 @@
         }
     }
 
-    private fun read(customer: CustomerId) {
-        val last = known[customer]
+    private fun read(action: BudgetAction.ReadRecord) {
+        val last = known[action.customer]
         scope.launch {
             if (last != null && mayReuse(last)) {
-                seen(customer, last.revision, last.record)
+                seen(action, last.revision, last.record)
             } else {
-                fetch(customer)
+                fetch(action)
             }
         }
     }
@@ -159,23 +159,24 @@
         return age < FRESH || (plenty && age < REUSE)
     }
 
-    private suspend fun fetch(customer: CustomerId) {
-        val key = BudgetRecord.key(customer)
+    private suspend fun fetch(action: BudgetAction.ReadRecord) {
+        val key = BudgetRecord.key(action.customer)
         calls++
         val read = store.read(key)
         storeReachable(read is ReadResult.Values)
         val values = (read as? ReadResult.Values)?.values ?: return
         val stored = values.firstOrNull { it.key == key }
         val record = if (stored == null) BudgetRecord() else decode(stored) ?: return
-        pay(customer, stored?.revision ?: 0, record)
+        pay(action, stored?.revision ?: 0, record)
     }
 
     /** Enters what was paid since the record was written, then hands the record on. */
-    private suspend fun pay(customer: CustomerId, revision: Long, record: BudgetRecord) {
+    private suspend fun pay(action: BudgetAction.ReadRecord, revision: Long, record: BudgetRecord) {
+        val customer = action.customer
         val total = prepaid[customer] ?: 0
         val missing = total - record.paid
         if (missing <= 0) {
-            seen(customer, revision, record)
+            seen(action, revision, record)
             return
         }
         // The id names the total, so that racing hosts enter the same payment once.
@@ -184,12 +185,12 @@
         when (val result = store.commit(listOf(write(customer, revision, next)))) {
             is WriteResult.Applied -> {
                 log(LogEvent.PAYMENT_ENTERED, "customer" to customer, "tokens" to missing)
-                seen(customer, result.revision, next)
+                seen(action, result.revision, next)
             }
 
             is WriteResult.Conflict -> {
                 val current = result.current.firstOrNull() ?: return
-                pay(customer, current.revision, decode(current) ?: return)
+                pay(action, current.revision, decode(current) ?: return)
             }
 
             // The holder asks again.
@@ -197,14 +198,15 @@
         }
     }
 
-    private fun seen(customer: CustomerId, revision: Long, record: BudgetRecord) {
+    private fun seen(action: BudgetAction.ReadRecord, revision: Long, record: BudgetRecord) {
+        val customer = action.customer
         val now = clock.now().elapsed
         val last = known[customer]
         if (last == null || last.revision <= revision) {
             known[customer] = Known(revision, record, now)
         }
         earlierRuns(record)
-        handle(BudgetEvent.RecordRead(customer, revision, record))
+        handle(BudgetEvent.RecordRead(customer, action.asked, revision, record))
     }
 
     private suspend fun write(action: BudgetAction.WriteMark) {
--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -86,8 +86,12 @@
         val stored = values.firstOrNull()
         val record = stored?.let { decodeRecord(BudgetRecord.serializer(), it.key, it.value) }
         if (stored != null && record == null) return@launch
-        val event =
-            BudgetEvent.RecordRead(action.customer, stored?.revision ?: 0, record ?: BudgetRecord())
+        val event = BudgetEvent.RecordRead(
+            action.customer,
+            action.asked,
+            stored?.revision ?: 0,
+            record ?: BudgetRecord()
+        )
         post { decisions.budget(event) }
     }
 
