--- a/router/src/test/kotlin/org/hemlockpond/router/StoredRecordsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/StoredRecordsTest.kt
@@ -28,6 +28,7 @@
     @Test
     fun unreadableRecordIsNull() {
         assertNull(decode("{"))
-        assertNull(decode("""{"slices":{"h":{"domain":"","granted":1}}}"""))
+        assertNull(decode("""{"closedSpent":"many"}"""))
+        assertNull(decode("""{"slices":{"h":{"granted":1}}}"""))
     }
 }
