Send one request at a time to an endpoint that callers left without an answer

Cause: once callers leave, a silent endpoint owes nothing and gets requests as before; in a zone cut they follow each other into the cut. Test failed before: four of four went to the silent one.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -300,6 +300,8 @@
     /** The caller is gone, or the router ended the request. */
     fun cancelled(id: RequestId, now: Duration): List<EntryAction> = buildList {
         val entry = open[id] ?: return@buildList
+        // Its last request is what shows that the endpoint is silent, and is about to be forgotten.
+        entry.at?.let { if (it.owes(id) && it.isSilent(now)) it.health.exclude(now) }
         close(entry)
         sendWaiting(service(entry.request.service), now)
     }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
@@ -118,6 +118,24 @@
         assertEquals(listOf("e2"), bed.sends(next))
     }
 
+    /**
+     * Guards against requests that follow each other into a domain that is cut off: callers leave
+     * after some seconds, and the silent endpoint then owes nothing more.
+     */
+    @Test
+    fun endpointThatCallersLeftWithoutAnAnswerGetsOneRequestAtATime() {
+        bed.add("e1")
+        val lost = List(4) { bed.submit(bed.request(Repetition.UNSAFE)) }
+        bed.add("e2")
+        bed.advance(2.seconds)
+        lost.forEach { bed.dispatcher.cancelled(it.id, bed.now) }
+        val next = List(4) { bed.submit(bed.request(Repetition.UNSAFE)) }
+        assertTrue(next.all { bed.sends(it) == listOf("e2") })
+        bed.advance(1.seconds)
+        val later = List(4) { bed.submit(bed.request(Repetition.UNSAFE)) }
+        assertTrue(later.count { bed.sends(it) == listOf("e1") } <= 1)
+    }
+
     /** Guards against one request that crashes one endpoint after the other. */
     @Test
     fun contentThatCrashedTwoEndpointsIsRefused() {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -25,6 +25,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
+import java.net.InetSocketAddress
 import kotlin.time.Duration
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.ErrorKind
@@ -88,6 +89,9 @@
     var mayHaveRun = false
         private set
 
+    /** Where the last attempt went. */
+    var address: InetSocketAddress? = null
+
     // For the log.
     var attempts = 0
     var endpoint: EndpointId? = null
