--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/TokenRetryAfterTest.kt
@@ -0,0 +1,27 @@
+package org.hemlockpond.core.entry
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertTrue
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+
+class TokenRetryAfterTest {
+    private val retryAfter = TokenRetryAfter(Random(1))
+
+    /** Guards against callers that come back to a host which still can't reach the store. */
+    @Test
+    fun callersOfAnOutageComeBackLater() {
+        repeat(100) {
+            assertTrue(retryAfter.after(storeReachable = false) >= 3.seconds)
+            assertTrue(retryAfter.after(storeReachable = true) in 1.seconds..1_500.milliseconds)
+        }
+    }
+
+    /** Guards against refused callers that all come back at one moment. */
+    @Test
+    fun callersComeBackApart() {
+        val times = List(100) { retryAfter.after(storeReachable = false) }
+        assertTrue(times.max() - times.min() >= 1.seconds)
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -71,7 +71,10 @@
     private var flushing = false
     private val reads = ArrayList<BudgetAction.ReadRecord>()
     private var fetching = false
-    private var reachable = true
+
+    /** Whether the last call to the store was answered. */
+    var isStoreReachable = true
+        private set
     private var prepaid: Map<CustomerId, Long> = emptyMap()
     private val reportedDead = HashSet<RouterId>()
 
@@ -109,8 +112,8 @@
     fun settle(request: RequestId, used: Long) = handle(BudgetEvent.Settle(request, used))
 
     fun storeReachable(next: Boolean) {
-        if (next == reachable) return
-        reachable = next
+        if (next == isStoreReachable) return
+        isStoreReachable = next
         handle(BudgetEvent.StoreReachable(next))
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -31,6 +31,7 @@
 import org.hemlockpond.core.entry.EntryRequest
 import org.hemlockpond.core.entry.EntryRoute
 import org.hemlockpond.core.entry.Repetition
+import org.hemlockpond.core.entry.TokenRetryAfter
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.RouterMetrics
@@ -50,6 +51,7 @@
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
     private val crashes = HashMap<Long, MutableSet<String>>()
+    private val tokenRetryAfter = TokenRetryAfter()
     private var config: EntryConfig? = null
 
     /** Requests that aren't ended. */
@@ -173,7 +175,11 @@
     fun budgetRefused(id: RequestId, kind: ErrorKind) {
         val exchange = exchanges[id] ?: return
         exchange.reserving = false
-        val retryAfter = if (kind == ErrorKind.BUDGET_EXHAUSTED) null else BUDGET_RETRY
+        val retryAfter = if (kind == ErrorKind.BUDGET_EXHAUSTED) {
+            null
+        } else {
+            tokenRetryAfter.after(budgets.isStoreReachable)
+        }
         exchange.request.customer?.let { customer ->
             val state = budgets.state(customer)
             log(
@@ -221,6 +227,7 @@
         exchange.attempts = action.attempt
         exchange.endpoint = endpoint.id
         val address = InetSocketAddress(endpoint.host, endpoint.port)
+        exchange.address = address
         // An idle connection may end as a request is sent, which then can't be repeated.
         val unsafe = exchange.request.route.repetition == Repetition.UNSAFE
         val freshness = if (unsafe) FRESH_CONNECTION else Duration.INFINITE
@@ -296,7 +303,7 @@
         val kind = if (exchange.sent) ErrorKind.ENDPOINT_TIMEOUT else ErrorKind.OVERLOADED
         val sent = exchange.sent
         end(exchange, if (sent) "timeout" else "refused", kind) {
-            exchange.refuse(kind, if (sent) null else BUDGET_RETRY)
+            exchange.refuse(kind, if (sent) null else tokenRetryAfter.after(budgets.isStoreReachable))
         }
     }
 
@@ -318,6 +325,7 @@
         val request = exchange.request
         exchanges.remove(request.id, exchange)
         val ran = exchange.sent || exchange.mayHaveRun
+        closeSilent(exchange)
         answer()
         val tokens = if (ran) tokens(exchange) else 0
         if (exchange.reserved || exchange.reserving) budgets.settle(request.id, tokens)
@@ -325,6 +333,16 @@
         act(dispatcher.cancelled(request.id, now()))
     }
 
+    /**
+     * Closes the idle connections to an endpoint that left a request without an answer. Should it be
+     * cut off, a new connection fails before anything is sent, and the request can go elsewhere.
+     */
+    private fun closeSilent(exchange: EntryExchange) {
+        val silent = now() - exchange.request.arrival >= settings.entry.silence
+        if (!exchange.sent || exchange.firstAfter != null || !silent) return
+        exchange.address?.let { pool.forget(it) }
+    }
+
     /** The prompt counts once; of the answer, what was passed on. */
     private fun tokens(exchange: EntryExchange): Long {
         val prompt = exchange.request.prompt ?: return 0
@@ -371,9 +389,6 @@
         /** The configuration is there within a second of the start, unless the store is away. */
         val CONFIG_RETRY = 500.milliseconds
 
-        /** Tokens are moved between hosts within a second. */
-        val BUDGET_RETRY = 500.milliseconds
-
         /** Endpoints keep idle connections for longer than this. */
         val FRESH_CONNECTION = 1.seconds
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -23,6 +23,8 @@
  *   platform needs two missed questions, a second apart, to send them elsewhere
  * @property watchWait how long one call of a watch waits for changes; a silent connection is found
  *   after this time and a second
+ * @property endpointWatchPause the time between two calls of the watch of the endpoint list, which
+ *   changes with every heartbeat of an endpoint; a leaving endpoint may get requests for 2 s
  * @property cutOffAfter when a host that hears nothing from the store stops asking for callers; a
  *   watch answers each [watchWait]
  * @property storeTimeout when a call to the store counts as unanswered
@@ -44,6 +46,7 @@
     val stopLimit: Duration = 8.seconds,
     val stopLinger: Duration = 2_500.milliseconds,
     val watchWait: Duration = 1_500.milliseconds,
+    val endpointWatchPause: Duration = 250.milliseconds,
     val cutOffAfter: Duration = 2_200.milliseconds,
     val storeTimeout: Duration = 700.milliseconds,
     val storePause: Duration = 250.milliseconds,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryStore.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryStore.kt
@@ -4,6 +4,7 @@
  */
 package org.hemlockpond.router.entry
 
+import kotlin.time.Duration
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
@@ -50,14 +51,22 @@
 
     fun start() {
         scope.launch { follow(format.configKey, ::configRead, ::configChanged) }
-        scope.launch { follow(format.endpointPrefix, ::endpointsRead, ::endpointsChanged) }
+        scope.launch {
+            follow(
+                format.endpointPrefix,
+                ::endpointsRead,
+                ::endpointsChanged,
+                pause = settings.endpointWatchPause
+            )
+        }
         scope.launch { follow(CRASHES_PREFIX, ::crashesRead, ::crashesChanged) }
     }
 
     private suspend fun follow(
         prefix: String,
         onRead: (ReadResult.Values) -> Unit,
-        onChanges: (List<StoreChange>) -> Unit
+        onChanges: (List<StoreChange>) -> Unit,
+        pause: Duration = Duration.ZERO
     ) = coroutineScope {
         while (isActive) {
             val read = store.readPrefix(prefix)
@@ -70,6 +79,7 @@
                     .collect {
                         listener.storeAnswered(true, null)
                         onChanges(it)
+                        delay(pause)
                     }
             } else {
                 delay(settings.storePause)
