Refuse the least urgent streams when events come slowly at all engines

Prompts are read between the events of streams, and nothing limited what a host sends to an engine.

Change: each host measures the mean pause between events by endpoint, prefers endpoints that keep their pace, and refuses requests of the least urgent route as the pause at the best one nears the goal.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointChoice.kt
@@ -36,7 +36,8 @@
             val far = if (load.listed.domain == domain) Duration.ZERO else settings.domainPenalty
             val late = (predicted - timely).coerceAtLeast(Duration.ZERO) * settings.lateWeight
             val reread = settings.rereadPenalty * uncached.shared.toDouble()
-            val cost = predicted + late + reread + far
+            val pauses = load.pause(now) * settings.pauseWeight
+            val cost = predicted + late + reread + far + pauses
             if (cost < bestCost) {
                 best = Chosen(load, predicted, likely)
                 bestCost = cost
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -31,6 +31,11 @@
     private var slowness = 1.0
     private var slownessAt = Duration.ZERO
     private var lastHeard = -Duration.INFINITE
+
+    /** When each stream brought its last bytes. */
+    private val lastEvents = HashMap<RequestId, Duration>()
+    private var eventGap = Duration.ZERO
+    private var eventGapAt = Duration.ZERO
     private var fullUntil = -Duration.INFINITE
 
     /** Requests of this host that run or wait there. */
@@ -105,14 +110,22 @@
         while (parts.size > MAX_PARTS) parts.remove(parts.keys.first())
     }
 
-    /** Any bytes came from the endpoint. */
-    fun heard(now: Duration) {
+    /** Bytes of the answer to [request] came from the endpoint. */
+    fun heard(request: RequestId, now: Duration) {
         lastHeard = now
+        val last = lastEvents.replace(request, now) ?: return
+        eventGap = pause(now) * (1 - GAP_WEIGHT) + (now - last) * GAP_WEIGHT
+        eventGapAt = now
     }
 
+    /** The mean time between events of the streams that run there; zero if nothing is known. */
+    fun pause(now: Duration): Duration =
+        eventGap * exp(-((now - eventGapAt) / settings.pauseMemory))
+
     /** The first event, or the answer of a plain service, came. */
     fun answered(request: RequestId, now: Duration) {
         lastHeard = now
+        if (isEngine) lastEvents[request] = now
         val sent = forget(request) ?: return
         val ratio = (now - sent.at) / sent.predicted.coerceAtLeast(MIN_PREDICTED)
         slowness = (slownessNow(now) * (1 - SLOWNESS_WEIGHT) + ratio * SLOWNESS_WEIGHT)
@@ -123,6 +136,7 @@
     /** The request is no longer there. */
     fun end(request: RequestId) {
         forget(request)
+        lastEvents -= request
         running--
     }
 
@@ -146,6 +160,9 @@
         /** The weight of one answer; a few answers in a row show a slow endpoint. */
         const val SLOWNESS_WEIGHT = 0.3
         const val MIN_SLOWNESS = 0.25
+
+        /** The weight of one pause; some ten events show a change. */
+        const val GAP_WEIGHT = 0.1
         const val MAX_SLOWNESS = 10.0
 
         /** Keeps the ratio finite. */
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
@@ -44,11 +44,16 @@
     /** Pass the answer that is held on to the caller. */
     data class Deliver(override val request: EntryRequest) : EntryAction
 
-    /** Answer that the request wasn't run. */
+    /**
+     * Answer that the request wasn't run.
+     *
+     * @property pause the mean time between events at the best engine, if it was too long
+     */
     data class Refuse(
         override val request: EntryRequest,
         val kind: ErrorKind,
-        val retryAfter: Duration
+        val retryAfter: Duration,
+        val pause: Duration? = null
     ) : EntryAction
 
     /** Answer that the request failed; it may have run. */
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -2,9 +2,10 @@
  * How entry hosts share budgets: through the store alone, in slices.
  *
  * All hosts can be cut off from the store for ten seconds at a time, and then live on their slices.
- * A large request needs tokens that no other host holds, so some are left in the store. A host that
- * is killed gets back what its last mark shows to be unspent; the longer the store was away before,
- * the less that is.
+ * Callers of a host that restarts move to others, so every host holds a part of each budget. A large
+ * request needs tokens that no other host holds, so some are left in the store, and more of them as
+ * the budget runs out. A host that is killed gets back what its last mark shows to be unspent; the
+ * longer the store was away before, the less that is. After a loss of power it gets nothing back.
  */
 package org.hemlockpond.core.entry
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryConfig.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryConfig.kt
@@ -39,6 +39,7 @@
  * @property rank the order among routes; 0 goes first
  * @property maxAttempts the most endpoints that run one request
  * @property anonymous whether requests need no key
+ * @property pauseGoal the longest pause between events of a stream that is on time, if there is one
  */
 data class EntryRoute(
     val id: RouteId,
@@ -51,7 +52,8 @@
     val rank: Int,
     val targets: List<RouteTarget>,
     val maxAttempts: Int,
-    val anonymous: Boolean
+    val anonymous: Boolean,
+    val pauseGoal: Duration? = null
 ) {
     /** The target for a request, chosen by its weight; [draw] is uniform over all integers. */
     fun target(draw: Int): ServiceId? {
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -38,6 +38,7 @@
     }
 
     private val choice = EndpointChoice(domain, settings)
+    private val shedding = LoadShedding(settings, random)
     private val suspects = CrashSuspects(settings.crashLimit)
     private val services = HashMap<ServiceId, Service>()
     private val open = HashMap<RequestId, Open>()
@@ -52,6 +53,7 @@
 
     fun configChanged(config: EntryConfig) {
         profiles = config.services
+        shedding.configChanged(config)
     }
 
     /** Takes over changes of the endpoint list. */
@@ -87,11 +89,20 @@
             add(refusal(request, ErrorKind.SUSPECT_NOT_RUN))
             return@buildList
         }
+        val pause = shortestPause(service, now)
+        if (shedding.refuses(request, pause)) {
+            add(refusal(request, ErrorKind.OVERLOADED).copy(pause = pause))
+            return@buildList
+        }
         val entry = Open(request)
         open[request.id] = entry
         if (!send(service, entry, now)) wait(service, entry, now)
     }
 
+    private fun shortestPause(service: Service, now: Duration): Duration =
+        service.loads.values.filter { it.hasRoom(now) }.minOfOrNull { it.pause(now) }
+            ?: Duration.ZERO
+
     private fun MutableList<EntryAction>.send(
         service: Service,
         entry: Open,
@@ -139,7 +150,7 @@
 
     /** Bytes came from the endpoint that has the request. */
     fun heard(request: RequestId, now: Duration) {
-        open[request]?.at?.heard(now)
+        open[request]?.at?.heard(request, now)
     }
 
     /** The first event, or the answer of a plain service, came. */
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -28,6 +28,12 @@
  * @property cacheMemory how long a prompt part counts as cached after its last use
  * @property slownessMemory the time after which an observed slowness is forgotten, so that a
  *   recovered endpoint is tried again
+ * @property pauseMemory the time after which pauses between the events of streams are forgotten
+ * @property pauseWeight how much slower an endpoint counts for each millisecond between events
+ * @property shedFrom the part of the pause goal at which requests of the least urgent routes begin to
+ *   be refused; long prompts make single pauses three times the mean
+ * @property shedRamp the further part of the pause goal over which all of them come to be refused,
+ *   and at which the next more urgent routes begin
  * @property waitShare the part of its goal that a request waits for room
  * @property emptyWait the longest wait while a service has no endpoint at all; entries of restarted
  *   endpoints are that far apart from their first request
@@ -57,6 +63,10 @@
     val homeShares: List<Double> = listOf(0.9, 0.4),
     val cacheMemory: Duration = 20.seconds,
     val slownessMemory: Duration = 4.seconds,
+    val pauseMemory: Duration = 2.seconds,
+    val pauseWeight: Double = 1.0,
+    val shedFrom: Double = 0.35,
+    val shedRamp: Double = 0.35,
     val waitShare: Double = 0.6,
     val emptyWait: Duration = 1.seconds,
     val queueLimit: Int = 200,
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBed.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBed.kt
@@ -98,6 +98,8 @@
         return request
     }
 
+    fun heard(request: EntryRequest) = dispatcher.heard(request.id, now)
+
     fun ended(request: EntryRequest, end: AttemptEnd, repeatable: Boolean = true) =
         take(dispatcher.ended(request.id, end, now, repeatable))
 
--- /dev/null
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/LoadSheddingTest.kt
@@ -0,0 +1,84 @@
+package org.hemlockpond.core.entry
+
+import kotlin.random.Random
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertTrue
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouteId
+
+class LoadSheddingTest {
+    private val service = ServiceId("advisor")
+    private val review = route("review", rank = 1)
+    private val check = route("check", rank = 2)
+    private val shedding = LoadShedding(EntrySettings(), Random(1)).also {
+        val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
+        it.configChanged(EntryConfig(1, listOf(review, check), emptyList(), limits, emptyList()))
+    }
+
+    private fun route(name: String, rank: Int) = EntryRoute(
+        id = RouteId(name),
+        host = "host",
+        pathPrefix = "/$name/",
+        streaming = true,
+        repetition = Repetition.UNSAFE,
+        timeout = 15.seconds,
+        goal = 800.milliseconds,
+        rank = rank,
+        targets = listOf(RouteTarget(service, 1)),
+        maxAttempts = 1,
+        anonymous = true,
+        pauseGoal = 300.milliseconds
+    )
+
+    private fun refused(route: EntryRoute, pause: Duration): Int = (0 until 1_000).count {
+        val request = EntryRequest(
+            id = RequestId("r$it"),
+            route = route,
+            service = service,
+            customer = null,
+            rank = 0,
+            prompt = null,
+            arrival = Duration.ZERO,
+            deadline = 15.seconds,
+            contentDigest = it.toLong()
+        )
+        shedding.refuses(request, pause)
+    }
+
+    /** Guards against refusals while engines keep up. */
+    @Test
+    fun nothingIsRefusedWhileStreamsKeepTheirPace() {
+        assertEquals(0, refused(check, pause = 100.milliseconds))
+        assertEquals(0, refused(review, pause = 100.milliseconds))
+    }
+
+    /** Guards against streams that all slow down until none ends in time. */
+    @Test
+    fun leastUrgentRequestsAreRefusedFirst() {
+        val half = refused(check, pause = 157.milliseconds)
+        assertTrue(half in 400..600, "$half of 1000 refused")
+        assertEquals(0, refused(review, pause = 157.milliseconds))
+        assertEquals(1_000, refused(check, pause = 250.milliseconds))
+        val later = refused(review, pause = 262.milliseconds)
+        assertTrue(later in 400..600, "$later of 1000 refused")
+    }
+
+    /** Guards against a slow engine that keeps getting requests while another one keeps up. */
+    @Test
+    fun requestGoesWhereStreamsKeepTheirPace() {
+        val bed = EntryBed(engine = EngineProfile(64, 700_000, tokensPerEvent = 5))
+        bed.add("e1")
+        val slow = bed.submit(bed.request())
+        bed.dispatcher.answered(slow.id, bed.now)
+        repeat(50) {
+            bed.now += 200.milliseconds
+            bed.heard(slow)
+        }
+        bed.add("e2")
+        assertEquals(listOf("e2"), bed.sends(bed.submit(bed.request())))
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -67,7 +67,8 @@
     SETTINGS_RELOADED(1809, Level.INFO, "settings file read again"),
     SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one"),
     RUN_ENDED(1811, Level.INFO, "an earlier run on this host has ended; its use is bounded"),
-    BUDGET_REFUSED(1812, Level.INFO, "request refused for lack of tokens")
+    BUDGET_REFUSED(1812, Level.INFO, "request refused for lack of tokens"),
+    LOAD_SHED(1813, Level.INFO, "request refused because all engines are slow")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -203,9 +203,7 @@
 
                 is EntryAction.Deliver -> end(exchange, "answered", null) { exchange.deliver() }
 
-                is EntryAction.Refuse -> end(exchange, "refused", action.kind) {
-                    exchange.refuse(action.kind, action.retryAfter)
-                }
+                is EntryAction.Refuse -> refuse(exchange, action)
 
                 is EntryAction.Fail -> end(exchange, "failed", action.kind) {
                     exchange.refuse(action.kind, null)
@@ -222,6 +220,20 @@
         }
     }
 
+    private fun refuse(exchange: EntryExchange, action: EntryAction.Refuse) {
+        val pause = action.pause
+        if (pause != null) {
+            log(
+                LogEvent.LOAD_SHED,
+                "request" to action.request.id,
+                "rank" to action.request.route.rank,
+                "pause" to millis(pause),
+                "goal" to action.request.route.pauseGoal?.let { millis(it) }
+            )
+        }
+        end(exchange, "refused", action.kind) { exchange.refuse(action.kind, action.retryAfter) }
+    }
+
     private fun send(exchange: EntryExchange, action: EntryAction.Send) {
         val endpoint = action.endpoint
         exchange.attempts = action.attempt
