--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Placement.kt
@@ -3,9 +3,9 @@
  *
  * Far from the end of a budget nearly all remaining tokens are held, in proportion to the demand
  * that each holder has written into its slice, so that a partitioned failure domain serves as long
- * as the others. Holders without peers split a part evenly, for callers that move to them, and grant
- * less ahead as the budget runs out. Near the end each holder keeps only a short span of its demand; the rest stays in
- * the record, where every holder can reach it.
+ * as the others. Holders without peers split a part evenly, for callers that move to them, and less
+ * is granted ahead as the budget runs out. Near the end each holder keeps only a short span of its
+ * demand; the rest stays in the record, where every holder can reach it.
  */
 package org.hemlockpond.core.budget
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -97,9 +97,13 @@
         val wait = when {
             // A credit needs a slice, or it would never reach the record.
             slice == null && account.spent < 0 -> interval
+
             slice == null -> return null
+
             slice.used != account.used -> interval
+
             account.held > account.reserved -> idle
+
             else -> return null
         }
         return maxOf(aligned(account.lastReport + wait), now)
--- a/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/budget/BudgetHolderTest.kt
@@ -184,12 +184,17 @@
         handle(BudgetEvent.Settle(request, 0))
         now += 2.minutes
         handle(BudgetEvent.LeaseRenewed(now))
-        val busier = write.record.withSlice(peer, Slice(domain, granted = 5_000, wanted = 9_000_000))
+        val busier = write.record.withSlice(
+            peer,
+            Slice(domain, granted = 5_000, wanted = 9_000_000)
+        )
         handle(BudgetEvent.Tick)
         val shrink = read(3, busier).write()
         written(shrink, WriteOutcome.Conflict)
         val again = read(4, busier).write()
-        val kept = { it: BudgetAction.WriteRecord -> it.record.slices.getValue(self).granted }
+        val kept = { written: BudgetAction.WriteRecord ->
+            written.record.slices.getValue(self).granted
+        }
         assertEquals(kept(shrink), kept(again))
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -315,7 +315,10 @@
         val kind = if (exchange.sent) ErrorKind.ENDPOINT_TIMEOUT else ErrorKind.OVERLOADED
         val sent = exchange.sent
         end(exchange, if (sent) "timeout" else "refused", kind) {
-            exchange.refuse(kind, if (sent) null else tokenRetryAfter.after(budgets.isStoreReachable))
+            exchange.refuse(
+                kind,
+                if (sent) null else tokenRetryAfter.after(budgets.isStoreReachable)
+            )
         }
     }
 
