Keep an older answer from hiding a later record, and write test records in order

Its store let a revision go back (1000, then 14): the budget saw a stale record, asked again, and got the same record back for as long as it counted as fresh, which in paused time is for ever. A real store's revisions grow, but answers can overtake each other, and then the same spin lasts 50 ms. Records that are known no longer go back, and the test writes through the store.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -218,11 +218,16 @@
 
     private fun seen(action: BudgetAction.ReadRecord, revision: Long, record: BudgetRecord) {
         val next = Known(revision, record, action.asked)
-        val last = known[action.customer]
-        if (last == null || last.revision <= revision) known[action.customer] = next
+        remember(action.customer, next)
         recordRead(action, next)
     }
 
+    /** Answers can overtake each other; an older one must not hide what a later one has shown. */
+    private fun remember(customer: CustomerId, next: Known) {
+        val last = known[customer]
+        if (last == null || last.revision <= next.revision) known[customer] = next
+    }
+
     private fun recordRead(action: BudgetAction.ReadRecord, known: Known) {
         earlierRuns(known.record)
         handle(
@@ -282,13 +287,13 @@
             for (stored in result.current) {
                 val customer = CustomerId(stored.key.removePrefix(BudgetRecord.PREFIX))
                 val record = decode(stored) ?: continue
-                known[customer] = Known(stored.revision, record, now)
+                remember(customer, Known(stored.revision, record, now))
             }
         }
         for (action in batch) {
             val outcome = when (result) {
                 is WriteResult.Applied -> {
-                    known[action.customer] = Known(result.revision, action.record, now)
+                    remember(action.customer, Known(result.revision, action.record, now))
                     WriteOutcome.Applied(result.revision)
                 }
 
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
@@ -25,7 +25,6 @@
 import org.hemlockpond.core.entry.entryBudgetSettings
 import org.hemlockpond.router.decodeRecord
 import org.hemlockpond.router.encodeRecord
-import org.hemlockpond.store.StoredValue
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class EntryBudgetsTest {
@@ -109,7 +108,7 @@
         val others = Slice(domain, granted = PAID / 2, spent = PAID / 2, wanted = 1_000)
         val changed = record(0).withSlice(RouterId("edge-2/a"), others)
         val text = encodeRecord(BudgetRecord.serializer(), changed)
-        store.values[key(0)] = StoredValue(key(0), text, revision = 1_000)
+        store.put(key(0), text)
         runFor(budgets, 8.seconds)
         val kept = record(0).slices.getValue(self).granted
         assertTrue(kept < held / 2, "$kept of $held tokens kept")
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/MemoryStore.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/MemoryStore.kt
@@ -19,6 +19,12 @@
     var reads = 0
         private set
 
+    /** A write of somebody else. */
+    fun put(key: String, value: String) {
+        revision++
+        values[key] = StoredValue(key, value, revision)
+    }
+
     override suspend fun read(key: String): ReadResult {
         reads++
         return ReadResult.Values(listOfNotNull(values[key]), revision)
