--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetSimulation.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetSimulation.kt
@@ -39,7 +39,7 @@
 
     private val tasks = PriorityQueue<Task>(compareBy({ it.at }, { it.order }))
     private val random = Random(seed)
-    private val arrivals = RequestArrivals(random, withShortPrompts)
+    private val arrivals = RequestArrivals(random, withShortPrompts, hosts)
     private val customer = CustomerId("c")
     private var record = BudgetRecord(payments = mapOf("p" to paid))
     private var revision = 1L
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/RequestArrivals.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/RequestArrivals.kt
@@ -3,14 +3,20 @@
 import kotlin.math.ln
 import kotlin.random.Random
 
-/** Generates request arrivals. Callers keep their connections, so one host gets a third of them. */
+/**
+ * Generates request arrivals. Callers keep their connections, so one of eight hosts gets a third of
+ * the requests, and in a larger fleet every eighth host gets several times as many as the others.
+ */
 internal class RequestArrivals(
     private val random: Random,
-    private val withShortPrompts: Boolean = false
+    private val withShortPrompts: Boolean = false,
+    hosts: Int = HOST_WEIGHTS.size
 ) {
+    private val hostWeights = List(hosts) { HOST_WEIGHTS[it % HOST_WEIGHTS.size] }
+
     fun host(): Int {
-        var rest = random.nextInt(HOST_WEIGHTS.sum())
-        return HOST_WEIGHTS.indexOfFirst { weight ->
+        var rest = random.nextInt(hostWeights.sum())
+        return hostWeights.indexOfFirst { weight ->
             rest -= weight
             rest < 0
         }
@@ -32,7 +38,7 @@
     private fun exponential(): Double = -ln(1 - random.nextDouble())
 
     private companion object {
-        /** The percentage of requests that each host gets. */
+        /** The percentage of requests that each of eight hosts gets. */
         val HOST_WEIGHTS = listOf(35, 10, 9, 5, 5, 9, 9, 18)
         const val MIN_TOKENS = 3_000
         const val MORE_TOKENS = 9_000
