Read the newest configuration when a burst of changes outruns the watch

Callers of a busy host were routed by an old configuration for seconds (CONFIG).

Cause: a watch delivers each version of a key in full. A configuration of 1,331 routes takes hundreds of kilobytes, and the link of a host that serves many callers is busy, so each answer of the watch took longer than the changes that it delivered, and the next one held more versions.

Change: a host that gets several versions at once decodes only the newest one and reads the key until it is up to date; then it watches again. An undecodable newest version still leaves the one before it.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -30,6 +30,8 @@
  *   watch answers every [watchPollTimeout]
  * @property storeTimeout the time after which a call to the store counts as unanswered
  * @property storeRetryDelay the delay before a read is retried when the store didn't answer
+ * @property catchUpDelay the delay between two reads of the configuration while it changes faster than
+ *   a watch delivers it
  * @property connectTimeout the time after which an endpoint counts as unreachable; the latency
  *   between failure domains is about 1 ms
  * @property maxBufferedAnswerBytes a plain answer up to this size is buffered until it is complete
@@ -52,6 +54,7 @@
     val storeSilenceLimit: Duration = 2_200.milliseconds,
     val storeTimeout: Duration = 700.milliseconds,
     val storeRetryDelay: Duration = 250.milliseconds,
+    val catchUpDelay: Duration = 100.milliseconds,
     val connectTimeout: Duration = 300.milliseconds,
     val maxBufferedAnswerBytes: Int = 64 * 1024,
     val idleConnectionTimeout: Duration = 4.seconds,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -1,6 +1,10 @@
 /*
  * Watches the configuration, the endpoint list and the crash records in the store. Each is read
  * once and then watched; when a watch ends for any reason, the data is read again.
+ *
+ * A watch delivers every version of a key. A configuration can have hundreds of kilobytes, so a host
+ * with a busy link would fall further behind with each of several quick changes. When several versions
+ * arrive at once, the host reads the newest one until it has caught up, and then watches again.
  */
 package org.hemlockpond.router.entry
 
@@ -9,6 +13,8 @@
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.takeWhile
 import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.hemlockpond.core.EndpointId
@@ -51,6 +57,9 @@
 ) {
     private val loggedInvalidKeys = HashSet<String>()
 
+    /** The store's revision of the newest configuration that was read, valid or not. */
+    private var configRevision = -1L
+
     fun start() {
         scope.launch { readAndWatch(format.configKey, ::configRead, ::configChanged) }
         scope.launch {
@@ -64,56 +73,85 @@
         scope.launch { readAndWatch(CRASHES_PREFIX, ::crashesRead, ::crashesChanged) }
     }
 
+    /**
+     * @param onRead handles a complete read; returns whether it brought anything new, as far as that
+     *   matters to catch up
+     * @param onChanges handles the changes of a watch; returns whether this host is behind, so that
+     *   the prefix has to be read again
+     */
     private suspend fun readAndWatch(
         prefix: String,
-        onRead: (ReadResult.Values) -> Unit,
-        onChanges: (List<StoreChange>) -> Unit,
+        onRead: (ReadResult.Values) -> Boolean,
+        onChanges: (List<StoreChange>) -> Boolean,
         pause: Duration = Duration.ZERO
     ) = coroutineScope {
+        var isBehind = false
         while (isActive) {
             val read = store.readPrefix(prefix)
             val cause = (read as? ReadResult.Unavailable)?.cause
             listener.storeCallEnded(cause == null, cause)
-            if (read is ReadResult.Values) {
-                onRead(read)
-                store.watch(prefix, read.revision + 1)
-                    .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
-                    .collect {
-                        listener.storeCallEnded(true, null)
-                        onChanges(it)
-                        delay(pause)
-                    }
-            } else {
+            if (read !is ReadResult.Values) {
                 delay(settings.storeRetryDelay)
+                continue
             }
+            isBehind = onRead(read) && isBehind
+            if (isBehind) {
+                delay(settings.catchUpDelay)
+                continue
+            }
+            store.watch(prefix, read.revision + 1)
+                .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
+                .takeWhile { changes ->
+                    listener.storeCallEnded(true, null)
+                    isBehind = onChanges(changes)
+                    delay(pause)
+                    !isBehind
+                }
+                .collect()
         }
     }
 
-    private fun configRead(read: ReadResult.Values) = read.values
-        .filter { it.key == format.configKey }
-        .forEach { reportConfig(it.value, it.revision) }
+    private fun configRead(read: ReadResult.Values): Boolean {
+        val value = read.values.firstOrNull { it.key == format.configKey } ?: return false
+        val isNew = value.revision > configRevision
+        if (isNew) reportConfig(value.value, value.revision)
+        return isNew
+    }
 
-    private fun configChanged(changes: List<StoreChange>) =
-        changes.filter { it.key == format.configKey }
-            .forEach { change -> change.value?.let { reportConfig(it, change.revision) } }
+    private fun configChanged(changes: List<StoreChange>): Boolean {
+        val versions = changes.filter { it.key == format.configKey && it.value != null }
+        // Earlier versions are only needed if the newest one can't be decoded.
+        versions.asReversed().firstOrNull { reportConfig(it.value.orEmpty(), it.revision) }
+        return versions.size > 1
+    }
 
-    private fun reportConfig(text: String, revision: Long) {
+    /** Returns whether [text] is a valid configuration. */
+    private fun reportConfig(text: String, revision: Long): Boolean {
+        configRevision = maxOf(configRevision, revision)
         when (val decoded = format.parseConfig(text)) {
-            is Decoded.Value -> listener.configReceived(decoded.value, revision)
+            is Decoded.Value -> {
+                listener.configReceived(decoded.value, revision)
+                return true
+            }
 
-            is Decoded.Invalid -> log(
-                LogEvent.CONFIG_INVALID,
-                "key" to format.configKey,
-                "revision" to revision,
-                "reason" to decoded.reason
-            )
+            is Decoded.Invalid -> {
+                log(
+                    LogEvent.CONFIG_INVALID,
+                    "key" to format.configKey,
+                    "revision" to revision,
+                    "reason" to decoded.reason
+                )
+                return false
+            }
         }
     }
 
-    private fun endpointsRead(read: ReadResult.Values) =
+    private fun endpointsRead(read: ReadResult.Values): Boolean {
         listener.endpointsListed(read.values.mapNotNull { decode(it.key, it.value, it.revision) })
+        return false
+    }
 
-    private fun endpointsChanged(changes: List<StoreChange>) {
+    private fun endpointsChanged(changes: List<StoreChange>): Boolean {
         for (change in changes) {
             val id = endpointId(change.key)
             val text = change.value
@@ -124,6 +162,7 @@
                     ?: listener.endpointInvalid(id)
             }
         }
+        return false
     }
 
     private fun endpointId(key: String) = EndpointId(key.removePrefix(format.endpointPrefix))
@@ -149,10 +188,15 @@
             }
         }
 
-    private fun crashesRead(read: ReadResult.Values) = read.values.forEach { reportCrash(it.key) }
+    private fun crashesRead(read: ReadResult.Values): Boolean {
+        read.values.forEach { reportCrash(it.key) }
+        return false
+    }
 
-    private fun crashesChanged(changes: List<StoreChange>) =
+    private fun crashesChanged(changes: List<StoreChange>): Boolean {
         changes.filter { it.value != null }.forEach { reportCrash(it.key) }
+        return false
+    }
 
     private fun reportCrash(key: String) {
         val name = key.removePrefix(CRASHES_PREFIX)
