Bound the bytes that are read from an endpoint without being part of an answer

Callers waited for their whole time limit when an endpoint sent bytes without end.

Cause: the rest of an answer that can't be passed on was read to its end before the request went elsewhere, an incomplete event was buffered without a limit, and bytes before a status line or between two answers were skipped without a limit.

Change: an attempt ends with the head that rejects it. The rest of a refusal is read for up to 64 KiB or 500 ms, so that the connection can be reused; otherwise the connection is closed. An event may have 64 KiB, and so may what precedes the head of an answer. Bytes on an idle connection close it.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -1,6 +1,7 @@
 /*
  * One connection to an endpoint, which carries one request at a time. Answers to other requests are
- * skipped, and a connection that received unexpected data isn't reused.
+ * skipped, and a connection that received unexpected data isn't reused. The number of bytes that are
+ * read without being part of an answer is limited, because a faulty endpoint may send without end.
  */
 package org.hemlockpond.router.entry
 
@@ -17,6 +18,7 @@
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import org.hemlockpond.core.RequestId
 
@@ -52,6 +54,47 @@
     private class Exchange(val id: RequestId, val sink: AnswerSink) {
         var answerStarted = false
         var lengthKnown = false
+
+        /** Bytes received before the head of the answer, or discarded after it. */
+        var surplusBytes = 0
+    }
+
+    /**
+     * Reads the rest of a refused answer, so that the connection can be reused. The attempt has
+     * already ended.
+     */
+    private object DiscardedAnswer : AnswerSink {
+        override fun head(response: HttpResponse, answer: AnswerHead) = Unit
+
+        override fun content(bytes: ByteBuf) {
+            bytes.release()
+        }
+
+        override fun ended() = Unit
+
+        override fun broken(cause: String, crash: Boolean) = Unit
+    }
+
+    /**
+     * Passes bytes to the HTTP codec and counts them. It stands before the codec, which skips line
+     * breaks before a status line without a message.
+     */
+    inner class ByteCounter : ChannelInboundHandlerAdapter() {
+        override fun channelRead(context: ChannelHandlerContext, message: Any) {
+            val count = (message as? ByteBuf)?.readableBytes() ?: 0
+            if (exchange == null) {
+                // Bytes between two requests belong to no answer.
+                ReferenceCountUtil.release(message)
+                reusable = false
+                channel.close()
+                return
+            }
+            val current = exchange
+            context.fireChannelRead(message)
+            if (current != null && current === exchange && !current.answerStarted) {
+                addSurplus(current, count)
+            }
+        }
     }
 
     lateinit var channel: Channel
@@ -81,6 +124,29 @@
         }
     }
 
+    /**
+     * Ends the sink's interest in the current answer. The rest is discarded; if it is short, the
+     * connection can be reused.
+     */
+    fun discardAnswer() {
+        val current = exchange ?: return
+        val rest = Exchange(current.id, DiscardedAnswer)
+        rest.answerStarted = current.answerStarted
+        exchange = rest
+        channel.eventLoop().schedule(
+            { if (exchange === rest) cancel() },
+            MAX_DISCARD_MILLIS,
+            TimeUnit.MILLISECONDS
+        )
+    }
+
+    private fun addSurplus(current: Exchange, count: Int) {
+        current.surplusBytes += count
+        if (current.surplusBytes > MAX_SURPLUS_BYTES) {
+            fail("over $MAX_SURPLUS_BYTES bytes that belong to no answer", crash = false)
+        }
+    }
+
     /** Cancels the current request by closing the connection, which stops work at the endpoint. */
     fun cancel() {
         exchange = null
@@ -145,11 +211,9 @@
             if (last) skipping = false
             return
         }
-        if (content.content().isReadable) {
-            current.sink.content(content.content())
-        } else {
-            content.release()
-        }
+        val count = content.content().readableBytes()
+        if (count > 0) current.sink.content(content.content()) else content.release()
+        if (current.sink === DiscardedAnswer) addSurplus(current, count)
         if (!last || exchange !== current) return
         exchange = null
         current.sink.ended()
@@ -178,4 +242,12 @@
         val answerStarted = exchange?.answerStarted ?: false
         fail(cause.message ?: cause.javaClass.simpleName, crash = !answerStarted)
     }
+
+    private companion object {
+        /** Several times the size of an answer to another request that arrives late. */
+        const val MAX_SURPLUS_BYTES = 64 * 1024
+
+        /** How long the rest of a discarded answer may take. */
+        const val MAX_DISCARD_MILLIS = 500L
+    }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
@@ -77,7 +77,8 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), connection)
+                        channel.pipeline()
+                            .addLast(connection.ByteCounter(), HttpClientCodec(), connection)
                     }
                 }
             )
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -68,9 +68,6 @@
     private var partialBody: CompositeByteBuf? = null
     private var bufferedAnswer: BufferedAnswer? = null
 
-    /** Why the current answer must not be forwarded to the caller; null if it may be. */
-    private var rejection: AttemptEnd? = null
-
     /** Whether the head was sent to the caller; later attempts can only add events. */
     var headSent = false
         private set
@@ -109,7 +106,6 @@
 
     fun attach(endpointConnection: EndpointConnection) {
         connection = endpointConnection
-        rejection = null
         endpointConnection.setPaused(!caller.isWritable && headSent)
     }
 
@@ -117,11 +113,10 @@
         listener.bytesReceived(this)
         status = response.status()
         val code = status.code()
-        rejection = checkAnswer(response, answer)
+        val rejection = checkAnswer(response, answer)
         if (rejection !is AttemptEnd.NotRun) mayHaveRun = true
-        if (rejection != null) return
-        if (headSent && code != OK) {
-            rejection = AttemptEnd.Broken("status $code instead of the rest of a stream", false)
+        if (rejection != null) {
+            rejectAnswer(rejection)
             return
         }
         if (!headSent) headers = dialect.callerHeaders(response)
@@ -145,16 +140,28 @@
             code in NOT_RUN_STATUSES ->
                 AttemptEnd.Broken("status $code without a statement that nothing ran", false)
 
+            headSent && code != OK ->
+                AttemptEnd.Broken("status $code instead of the rest of a stream", false)
+
             else -> null
         }
     }
 
+    /** Ends the attempt without waiting for the rest of its answer, which may have no end. */
+    private fun rejectAnswer(end: AttemptEnd) {
+        val current = connection ?: return
+        connection = null
+        if (end is AttemptEnd.NotRun) current.discardAnswer() else current.cancel()
+        splitter.dropRest()
+        listener.attemptEnded(this, end)
+    }
+
     private val isSuccess: Boolean get() = status.code() / STATUS_CLASS_SIZE == SUCCESS_CLASS
 
     override fun content(bytes: ByteBuf) {
         listener.bytesReceived(this)
         when {
-            rejection != null || finished -> bytes.release()
+            finished -> bytes.release()
             streaming && isSuccess -> writeEvents(bytes)
             unbuffered -> caller.channel.writeAndFlush(DefaultHttpContent(bytes))
             else -> collect(bytes)
@@ -163,15 +170,18 @@
 
     private fun writeEvents(bytes: ByteBuf) {
         val whole = splitter.add(bytes)
-        if (!whole.isReadable) {
+        if (whole.isReadable) {
+            if (!headSent) {
+                listener.answerStarted(this)
+                writeChunkedHead()
+            }
+            caller.channel.writeAndFlush(DefaultHttpContent(whole))
+        } else {
             whole.release()
-            return
         }
-        if (!headSent) {
-            listener.answerStarted(this)
-            writeChunkedHead()
+        if (splitter.pendingBytes > settings.maxEventBytes) {
+            rejectAnswer(AttemptEnd.Broken("event over ${settings.maxEventBytes} bytes", false))
         }
-        caller.channel.writeAndFlush(DefaultHttpContent(whole))
     }
 
     private fun writeChunkedHead() {
@@ -202,12 +212,9 @@
 
     override fun ended() {
         connection = null
-        val end = rejection
         when {
             finished -> return
 
-            end != null -> listener.attemptEnded(this, end)
-
             streaming && isSuccess -> streamEnded()
 
             unbuffered -> {
@@ -243,9 +250,8 @@
         splitter.dropRest()
         partialBody?.release()
         partialBody = null
-        val end = rejection as? AttemptEnd.NotRun ?: AttemptEnd.Broken(cause, crash)
-        if (end is AttemptEnd.Broken) mayHaveRun = true
-        listener.attemptEnded(this, end)
+        mayHaveRun = true
+        listener.attemptEnded(this, AttemptEnd.Broken(cause, crash))
     }
 
     /** Cancels the current attempt, if any. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -35,6 +35,7 @@
  * @property connectTimeout the time after which an endpoint counts as unreachable; the latency
  *   between failure domains is about 1 ms
  * @property maxBufferedAnswerBytes a plain answer up to this size is buffered until it is complete
+ * @property maxEventBytes an event of a stream may have up to this size; a larger one ends the attempt
  * @property idleConnectionTimeout how long an idle connection to an endpoint is kept, unless the
  *   endpoint states its own timeout
  * @property idleTimeoutMargin how long before the endpoint's own timeout an idle connection expires
@@ -57,6 +58,7 @@
     val catchUpDelay: Duration = 100.milliseconds,
     val connectTimeout: Duration = 300.milliseconds,
     val maxBufferedAnswerBytes: Int = 64 * 1024,
+    val maxEventBytes: Int = 64 * 1024,
     val idleConnectionTimeout: Duration = 4.seconds,
     val idleTimeoutMargin: Duration = 400.milliseconds,
     val tickInterval: Duration = 25.milliseconds,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EventSplitter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EventSplitter.kt
@@ -18,6 +18,9 @@
     var lastId: String? = null
         private set
 
+    /** The size of the incomplete event in bytes. */
+    val pendingBytes: Int get() = rest.readableBytes()
+
     /** Adds and releases [bytes]; returns the complete events, which the caller must release. */
     fun add(bytes: ByteBuf): ByteBuf {
         val all = if (rest.isReadable) Unpooled.wrappedBuffer(rest, bytes) else bytes
