Keep requests from a version under roll-out, and roll the order back

Cause: entry hosts didn't read op/rollout. The endpoints of the new version were used like all others, and the order got no state.

Change: one watch now covers the configuration and the orders. Entry hosts don't judge versions, so a good version is rolled back, too; that was not completed before either.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -12,6 +12,7 @@
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.VersionId
 import org.hemlockpond.core.routing.RetryBudget
 
 class EntryDispatcher(
@@ -36,6 +37,19 @@
 
     private class ServiceState(settings: EntrySettings) {
         val loads = LinkedHashMap<EndpointId, EndpointLoad>()
+
+        /** The version that an operator has ordered and that gets no requests. */
+        var heldVersion: VersionId? = null
+
+        /**
+         * The endpoints that may get requests: those of the held version only if there are no
+         * others.
+         */
+        val candidates: Collection<EndpointLoad>
+            get() {
+                val held = heldVersion ?: return loads.values
+                return loads.values.filter { it.endpoint.version != held }.ifEmpty { loads.values }
+            }
         val waiting = WaitingRequests()
         val retries = RetryBudget(settings.retryRatio, settings.retryBurst)
     }
@@ -59,6 +73,16 @@
         shedding.configChanged(config)
     }
 
+    /** Keeps requests from the endpoints of the version that [order] names. */
+    fun rolloutOrdered(order: RolloutOrder) {
+        service(order.service).heldVersion = order.target
+    }
+
+    /** The operator withdrew the roll-out of [id]; all endpoints may get requests again. */
+    fun rolloutWithdrawn(id: ServiceId) {
+        service(id).heldVersion = null
+    }
+
     /** Applies changes of the endpoint list. */
     fun endpointsChanged(changes: List<DirectoryChange>, now: Duration): List<EntryAction> {
         for (change in changes) {
@@ -105,7 +129,7 @@
     }
 
     private fun shortestEventGap(service: ServiceState, now: Duration): Duration =
-        service.loads.values.filter { it.hasCapacity(now) }.minOfOrNull { it.meanEventGap(now) }
+        service.candidates.filter { it.hasCapacity(now) }.minOfOrNull { it.meanEventGap(now) }
             ?: Duration.ZERO
 
     private fun MutableList<EntryAction>.send(
@@ -114,7 +138,7 @@
         now: Duration
     ): Boolean {
         val request = entry.request
-        val loads = service.loads.values
+        val loads = service.candidates
         val chosen = choice.choose(request, loads, entry.triedEndpoints, now)
             ?: (
                 if (entry.triedEndpoints.isEmpty()) {
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -68,7 +68,9 @@
     SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one"),
     RUN_ENDED(1811, Level.INFO, "an earlier run on this host has ended; its use is bounded"),
     BUDGET_REFUSED(1812, Level.INFO, "request refused for lack of tokens"),
-    LOAD_SHED(1813, Level.INFO, "request refused because all engines are slow")
+    LOAD_SHED(1813, Level.INFO, "request refused because all engines are slow"),
+    ROLLOUT_REFUSED(1814, Level.WARN, "a roll-out order was rolled back without traffic"),
+    ROLLOUT_INVALID(1815, Level.ERROR, "a roll-out order can't be decoded; it is ignored")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
@@ -15,6 +15,8 @@
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.ListedEndpoint
 import org.hemlockpond.core.entry.Prompt
+import org.hemlockpond.core.entry.RolloutOrder
+import org.hemlockpond.core.entry.ServiceId
 
 /**
  * The values parsed from a caller's request headers.
@@ -91,9 +93,26 @@
 /** The keys and formats of the configuration and the endpoint list in the platform's store. */
 interface FleetFormat {
     val configKey: String
+
+    /** The prefix of the operator's keys: [configKey] and those under [rolloutPrefix]. */
+    val operatorPrefix: String
+
+    /** The prefix of roll-out orders; the rest of a key is the service. */
+    val rolloutPrefix: String
     val endpointPrefix: String
 
     fun parseConfig(text: String): Decoded<EntryConfig>
 
     fun parseEndpoint(id: EndpointId, text: String): Decoded<ListedEndpoint>
+
+    fun parseRollout(text: String): Decoded<RolloutOrder>
+
+    /** The key of the state of the roll-out of [service]. */
+    fun rolloutStatusKey(service: ServiceId): String
+
+    /** Whether the stored [status] is the final state of [order]. */
+    fun endsRollout(order: RolloutOrder, status: String): Boolean
+
+    /** The state that tells the operator that [order] was rolled back. */
+    fun encodeRollback(order: RolloutOrder): String
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -31,6 +31,8 @@
 import org.hemlockpond.core.entry.EntryRequest
 import org.hemlockpond.core.entry.EntryRoute
 import org.hemlockpond.core.entry.RetrySafety
+import org.hemlockpond.core.entry.RolloutOrder
+import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.core.entry.TokenRetryAfter
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
@@ -66,6 +68,10 @@
         dispatcher.configChanged(next)
     }
 
+    fun rolloutOrdered(order: RolloutOrder) = dispatcher.rolloutOrdered(order)
+
+    fun rolloutWithdrawn(service: ServiceId) = dispatcher.rolloutWithdrawn(service)
+
     fun endpointsChanged(changes: List<DirectoryChange>) =
         perform(dispatcher.endpointsChanged(changes, now()))
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -30,6 +30,8 @@
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryDispatcher
 import org.hemlockpond.core.entry.ListedEndpoint
+import org.hemlockpond.core.entry.RolloutOrder
+import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.RouterMetrics
@@ -89,6 +91,7 @@
             ::recordCrash
         )
     private val fleetWatcher = FleetWatcher(store, format, settings, scope, FleetEvents())
+    private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
     private val callerIdleTimeout = CallerIdleTimeout(DEFAULT_CALLER_TIMEOUT, IDLE_TIMEOUT_OVERLAP)
@@ -315,6 +318,16 @@
             )
         }
 
+        override fun rolloutOrdered(order: RolloutOrder) {
+            requests.rolloutOrdered(order)
+            rolloutRefusal.refuse(order)
+        }
+
+        override fun rolloutWithdrawn(service: ServiceId) {
+            requests.rolloutWithdrawn(service)
+            rolloutRefusal.withdrawn(service)
+        }
+
         override fun endpointsListed(entries: List<ListedEndpoint>) {
             applyEndpointChanges(directory.replaceAll(entries, clock.now().elapsed))
             endpointListRead = true
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -20,6 +20,8 @@
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.ListedEndpoint
+import org.hemlockpond.core.entry.RolloutOrder
+import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
@@ -31,6 +33,11 @@
 internal interface FleetListener {
     fun configReceived(config: EntryConfig, revision: Long)
 
+    fun rolloutOrdered(order: RolloutOrder)
+
+    /** The operator withdrew the roll-out of [service]. */
+    fun rolloutWithdrawn(service: ServiceId)
+
     /** The complete endpoint list was read; [entries] are its valid entries. */
     fun endpointsListed(entries: List<ListedEndpoint>)
 
@@ -57,11 +64,16 @@
 ) {
     private val loggedInvalidKeys = HashSet<String>()
 
+    /** The revision of each known roll-out order, by key. */
+    private val rolloutRevisions = HashMap<String, Long>()
+
     /** The store's revision of the newest configuration that was read, valid or not. */
     private var configRevision = -1L
 
     fun start() {
-        scope.launch { readAndWatch(format.configKey, ::configRead, ::configChanged) }
+        scope.launch {
+            readAndWatch(format.operatorPrefix, ::operatorKeysRead, ::operatorKeysChanged)
+        }
         scope.launch {
             readAndWatch(
                 format.endpointPrefix,
@@ -111,6 +123,45 @@
         }
     }
 
+    private fun operatorKeysRead(read: ReadResult.Values): Boolean {
+        val orders = read.values.filter { it.key.startsWith(format.rolloutPrefix) }
+        orders.forEach { reportRollout(it.value, it.revision, it.key) }
+        (rolloutRevisions.keys - orders.map { it.key }.toSet()).toList().forEach(::withdrawRollout)
+        return configRead(read)
+    }
+
+    private fun operatorKeysChanged(changes: List<StoreChange>): Boolean {
+        for (change in changes.filter { it.key.startsWith(format.rolloutPrefix) }) {
+            val order = change.value
+            if (order == null) {
+                withdrawRollout(change.key)
+            } else {
+                reportRollout(order, change.revision, change.key)
+            }
+        }
+        return configChanged(changes)
+    }
+
+    private fun withdrawRollout(key: String) {
+        rolloutRevisions -= key
+        listener.rolloutWithdrawn(ServiceId(key.removePrefix(format.rolloutPrefix)))
+    }
+
+    /** Reports each order once; the prefix is read again whenever a watch ends. */
+    private fun reportRollout(text: String, revision: Long, key: String) {
+        if (rolloutRevisions.put(key, revision) == revision) return
+        when (val decoded = format.parseRollout(text)) {
+            is Decoded.Value -> listener.rolloutOrdered(decoded.value)
+
+            is Decoded.Invalid -> log(
+                LogEvent.ROLLOUT_INVALID,
+                "key" to key,
+                "revision" to revision,
+                "reason" to decoded.reason
+            )
+        }
+    }
+
     private fun configRead(read: ReadResult.Values): Boolean {
         val value = read.values.firstOrNull { it.key == format.configKey } ?: return false
         val isNew = value.revision > configRevision
