--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -7,10 +7,6 @@
  * store, and this part grows as the budget runs out. After a kill, a host recovers the tokens that
  * its last spend mark shows as unspent, which are fewer the longer the store was unreachable
  * before. After a power loss it recovers nothing.
- *
- * The time between two reports grows with the number of hosts in a failure domain. It stays at a few
- * seconds for some tens of hosts, because unreported use makes a budget look larger than it is, and
- * hosts then keep tokens that others need and that a power loss would cost.
  */
 package org.hemlockpond.core.entry
 
@@ -25,10 +21,10 @@
     grantWait = 1.seconds,
     grantSpan = 2.seconds,
     refillThresholdSpan = 2.seconds,
-    reportInterval = 100.milliseconds,
+    reportInterval = 1.seconds,
     idleReportInterval = 6.seconds,
     reportAlignment = 1.seconds,
-    advanceShare = 0.6,
+    advanceShare = 0.8,
     advanceTaperExponent = 1.2,
     evenShare = 0.8,
     minHolders = 8,
