Treat streams that end within an event as broken off

Callers saw: a stream of an endpoint that broke off within an event, or before the first one, arrived as a complete answer if the answer had neither a length nor chunks, since the end of the connection then ends the answer.

Cause: at the end of an answer the rest of the last event was passed on and the caller's answer was ended regularly. The end of a connection says nothing about the end of an event.

Change: a stream is complete only after an event; one that isn't delimited is also incomplete without any event. It is resumed elsewhere if its route allows that; otherwise the caller's connection is closed. EventSplitter.takeRest had no other use; its test now checks that a dropped rest leaves nothing behind.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -29,14 +29,15 @@
     /** The sink releases [bytes]. */
     fun content(bytes: ByteBuf)
 
-    fun ended()
+    /** @param isDelimited whether a length or the last chunk showed the end of the answer */
+    fun ended(isDelimited: Boolean)
 
     /**
      * The answer ended before it was complete.
      *
-     * @param crash whether the connection ended before the head of the answer arrived
+     * @param connectionLost whether the endpoint ended the connection
      */
-    fun broken(cause: String, crash: Boolean)
+    fun broken(cause: String, connectionLost: Boolean)
 }
 
 internal class EndpointConnection(private val dialect: EntryDialect, private val owner: Owner) :
@@ -70,9 +71,9 @@
             bytes.release()
         }
 
-        override fun ended() = Unit
+        override fun ended(isDelimited: Boolean) = Unit
 
-        override fun broken(cause: String, crash: Boolean) = Unit
+        override fun broken(cause: String, connectionLost: Boolean) = Unit
     }
 
     /**
@@ -143,7 +144,7 @@
     private fun addSurplus(current: Exchange, count: Int) {
         current.surplusBytes += count
         if (current.surplusBytes > MAX_SURPLUS_BYTES) {
-            fail("over $MAX_SURPLUS_BYTES bytes that belong to no answer", crash = false)
+            fail("over $MAX_SURPLUS_BYTES bytes that belong to no answer", connectionLost = false)
         }
     }
 
@@ -167,7 +168,7 @@
         when {
             message.decoderResult().isFailure -> {
                 ReferenceCountUtil.release(message)
-                fail("unreadable answer", crash = false)
+                fail("unreadable answer", connectionLost = false)
             }
 
             current == null -> {
@@ -216,31 +217,29 @@
         if (current.sink === DiscardedAnswer) addSurplus(current, count)
         if (!last || exchange !== current) return
         exchange = null
-        current.sink.ended()
+        current.sink.ended(current.lengthKnown)
         when {
             !reusable -> channel.close()
             requestWritten -> owner.connectionIdle(this, idleTimeout)
         }
     }
 
-    private fun fail(cause: String, crash: Boolean) {
+    private fun fail(cause: String, connectionLost: Boolean) {
         reusable = false
         val current = exchange
         exchange = null
         channel.close()
-        current?.sink?.broken(cause, crash)
+        current?.sink?.broken(cause, connectionLost)
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        val answerStarted = exchange?.answerStarted ?: false
         owner.connectionClosed(this)
-        fail("connection closed", crash = !answerStarted)
+        fail("connection closed", connectionLost = true)
     }
 
     @Deprecated("Netty's own deprecation of the handler method")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        val answerStarted = exchange?.answerStarted ?: false
-        fail(cause.message ?: cause.javaClass.simpleName, crash = !answerStarted)
+        fail(cause.message ?: cause.javaClass.simpleName, connectionLost = true)
     }
 
     private companion object {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -77,6 +77,12 @@
     /** Whether an attempt may be running at an endpoint. */
     val isAttemptRunning: Boolean get() = connection != null
 
+    /** Whether the head of the current attempt's answer has arrived. */
+    private var headReceived = false
+
+    /** Whether the current attempt's answer has begun: with the first event, or with the head. */
+    private var answerBegan = false
+
     /** Whether the answer is forwarded without buffering; set for a large plain answer. */
     private var unbuffered = false
 
@@ -106,13 +112,15 @@
 
     fun attach(endpointConnection: EndpointConnection) {
         connection = endpointConnection
+        headReceived = false
+        answerBegan = false
         endpointConnection.setPaused(!caller.isWritable && headSent)
     }
 
     override fun head(response: HttpResponse, answer: AnswerHead) {
         listener.bytesReceived(this)
+        headReceived = true
         status = response.status()
-        val code = status.code()
         val rejection = checkAnswer(response, answer)
         if (rejection !is AttemptEnd.NotRun) mayHaveRun = true
         if (rejection != null) {
@@ -120,7 +128,13 @@
             return
         }
         if (!headSent) headers = dialect.callerHeaders(response)
-        if (!streaming) listener.answerStarted(this)
+        if (!streaming) beginAnswer()
+    }
+
+    private fun beginAnswer() {
+        if (answerBegan) return
+        answerBegan = true
+        listener.answerStarted(this)
     }
 
     /** Checks that the answer is the endpoint's own result; returns null if so, or the failure. */
@@ -171,10 +185,8 @@
     private fun writeEvents(bytes: ByteBuf) {
         val whole = splitter.add(bytes)
         if (whole.isReadable) {
-            if (!headSent) {
-                listener.answerStarted(this)
-                writeChunkedHead()
-            }
+            beginAnswer()
+            if (!headSent) writeChunkedHead()
             caller.channel.writeAndFlush(DefaultHttpContent(whole))
         } else {
             whole.release()
@@ -210,12 +222,12 @@
         caller.channel.writeAndFlush(DefaultHttpContent(all))
     }
 
-    override fun ended() {
+    override fun ended(isDelimited: Boolean) {
         connection = null
         when {
             finished -> return
 
-            streaming && isSuccess -> streamEnded()
+            streaming && isSuccess -> streamEnded(isDelimited)
 
             unbuffered -> {
                 caller.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
@@ -229,12 +241,28 @@
         }
     }
 
-    private fun streamEnded() {
-        val rest = splitter.takeRest()
-        if (!headSent) writeChunkedHead()
-        if (rest.isReadable) caller.channel.write(DefaultHttpContent(rest)) else rest.release()
-        caller.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
-        listener.attemptEnded(this, AttemptEnd.Answered(status.code()))
+    /** A crash of the endpoint looks like the end of a stream that isn't delimited. */
+    private fun streamEnded(isDelimited: Boolean) {
+        when {
+            splitter.pendingBytes > 0 -> streamBroken("stream ended within an event")
+
+            !isDelimited && !answerBegan -> streamBroken("stream ended before the first event")
+
+            else -> {
+                if (!headSent) writeChunkedHead()
+                caller.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                listener.attemptEnded(this, AttemptEnd.Answered(status.code()))
+            }
+        }
+    }
+
+    private fun streamBroken(cause: String) {
+        splitter.dropRest()
+        mayHaveRun = true
+        listener.attemptEnded(
+            this,
+            AttemptEnd.Broken(cause, crash = false)
+        )
     }
 
     private fun bufferAnswer() {
@@ -244,14 +272,17 @@
         bufferedAnswer = BufferedAnswer(status, headers!!, body)
     }
 
-    override fun broken(cause: String, crash: Boolean) {
+    override fun broken(cause: String, connectionLost: Boolean) {
         connection = null
         if (finished) return
         splitter.dropRest()
         partialBody?.release()
         partialBody = null
         mayHaveRun = true
-        listener.attemptEnded(this, AttemptEnd.Broken(cause, crash))
+        listener.attemptEnded(
+            this,
+            AttemptEnd.Broken(cause, crash = connectionLost && !headReceived)
+        )
     }
 
     /** Cancels the current attempt, if any. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EventSplitter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EventSplitter.kt
@@ -73,13 +73,6 @@
         return value.removePrefix(" ")
     }
 
-    /** Returns the bytes of the incomplete event; the caller must release them. */
-    fun takeRest(): ByteBuf {
-        val rest = pending.readBytes(pending.readableBytes())
-        dropRest()
-        return rest
-    }
-
     fun dropRest() {
         pending.clear()
         lineStart = 0
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EventSplitterTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EventSplitterTest.kt
@@ -33,13 +33,9 @@
         splitter.dropRest()
         assertEquals("data: b\n\n", splitter.addText("data: b\n\n"))
         assertEquals(null, splitter.lastId)
-        assertEquals(
-            "rest",
-            splitter.run {
-                addText("rest")
-                takeRest().text()
-            }
-        )
+        assertEquals("", splitter.addText("rest"))
+        assertEquals("rest".length, splitter.pendingBytes)
+        splitter.dropRest()
         assertEquals(0, splitter.pendingBytes)
     }
 }
