Refuse prompt parts that crash endpoints

Each crash breaks about 30 sound requests.

Cause: crashes were counted by the whole content of a request, and only if no byte of the answer had arrived. These requests crash an endpoint after the head of the answer, and no content comes twice.

Change: every prompt part but the last is a suspect beside the content. A crash accuses the suspects of the requests that had no event yet; it counts twice if the head had arrived. An answer that begins clears its suspects, at all hosts, so what sound requests share is cleared within moments. Crashes without an answer between them count once: endpoints that fail together have another cause. A refused connection tells a crash from a lost connection. When a part is refused, requests with it that wait or have no answer are ended. Records in the store have a lease of ten minutes (they stayed for ever) and are written again until the store has them. A host is ready once it has read them.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
@@ -1,35 +1,121 @@
 /*
- * Counts the endpoint crashes that each request content coincided with. Callers repeat a request
- * that crashes endpoints, and may send it to any host, so the hosts share the counts through the
- * store. Content is refused from the second crash on: two chance crashes under the same content are
- * unlikely.
+ * Finds out what crashes the endpoints of one service: the content of a request that callers repeat,
+ * or a prompt part that many different requests share. Everything that the requests without an answer
+ * had in common with the crashed endpoint is suspect. A suspect is cleared as soon as an endpoint
+ * begins to answer a request with it, so the caller and the other parts of such requests are cleared
+ * by sound requests within moments.
+ *
+ * Callers may use any host, so the hosts share crashes and clearances through the store.
  */
 package org.hemlockpond.core.entry
 
-/** @property crashLimit the number of crashes from which on content is refused */
-internal class CrashSuspects(private val crashLimit: Int) {
-    private val localCounts = LinkedHashMap<Long, Int>()
-    private val storedCounts = HashMap<Long, Int>()
-
-    /** Counts a crash that this host saw, and returns its count for [contentDigest]. */
-    fun addCrash(contentDigest: Long): Int {
-        val count = (localCounts[contentDigest] ?: 0) + 1
-        localCounts[contentDigest] = count
-        if (localCounts.size > MAX_DIGESTS) localCounts.remove(localCounts.keys.first())
-        return count
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.minutes
+import org.hemlockpond.core.EndpointId
+
+/** What requests that crash endpoints may have in common. */
+sealed interface Suspect {
+    /** A prompt part other than the last one, which belongs to a single request or session. */
+    data class Part(val id: String) : Suspect
+
+    /** The whole content of a request, which its caller repeats. */
+    data class Content(val digest: Long) : Suspect
+}
+
+/** The crash of an endpoint; [startedMillis] distinguishes the processes under one id. */
+data class EndpointCrash(val endpoint: EndpointId, val startedMillis: Long)
+
+/**
+ * How far the endpoint had come with a request when it crashed.
+ *
+ * @property weight how strongly this speaks against the request
+ */
+enum class CrashEvidence(val weight: Int) {
+    /** No byte of the answer had arrived; the request may not have been running. */
+    UNANSWERED(1),
+
+    /** The answer's head had arrived, but no part of its content. */
+    ANSWERING(2)
+}
+
+/** What one host knows about a crash: the suspects of the requests that it had sent there. */
+data class CrashReport(
+    val service: ServiceId,
+    val crash: EndpointCrash,
+    val suspects: Map<Suspect, CrashEvidence>
+)
+
+/**
+ * Settings of [CrashSuspects].
+ *
+ * @property contentLimit the number of crashes from which on content is refused
+ * @property partLimit the total weight of the evidence from which on a prompt part is refused; a
+ *   part is shared by many sound requests, which happen to wait at an endpoint that crashes
+ * @property retention how long a crash counts
+ */
+data class CrashSettings(
+    val contentLimit: Int = 2,
+    val partLimit: Int = 3,
+    val retention: Duration = 10.minutes
+)
+
+internal class CrashSuspects(private val settings: CrashSettings) {
+    /** @property answersBefore the number of answers that had begun before the crash */
+    private class Accusation(val at: Duration, val answersBefore: Long, var evidence: CrashEvidence)
+
+    private val accusations = LinkedHashMap<Suspect, LinkedHashMap<EndpointCrash, Accusation>>()
+    private var answers = 0L
+
+    /** Adds what this host or another one knows about a crash. */
+    fun addCrash(crash: EndpointCrash, suspects: Map<Suspect, CrashEvidence>, now: Duration) {
+        for ((suspect, evidence) in suspects) {
+            val crashes = accusations.getOrPut(suspect) { LinkedHashMap(2) }
+            val known = crashes.getOrPut(crash) { Accusation(now, answers, evidence) }
+            if (evidence > known.evidence) known.evidence = evidence
+        }
+        while (accusations.size > MAX_SUSPECTS) accusations.remove(accusations.keys.first())
+    }
+
+    /**
+     * Clears the [suspects] of a request whose answer has begun, and returns those that had been
+     * accused.
+     */
+    fun answerBegan(suspects: List<Suspect>): List<Suspect> {
+        answers++
+        return suspects.filter { accusations.remove(it) != null }
+    }
+
+    /** Clears suspects for which an answer has begun at another host. */
+    fun clear(suspects: Collection<Suspect>) {
+        answers++
+        accusations -= suspects.toSet()
+    }
+
+    /** Returns the first of [suspects] that is refused; null if the request may be sent. */
+    fun refused(suspects: List<Suspect>, now: Duration): Suspect? {
+        if (accusations.isEmpty()) return null
+        return suspects.firstOrNull { isRefused(it, now) }
     }
 
-    /** Takes over the number of crashes that all hosts have recorded in the store. */
-    fun mergeStoredCrashes(contentDigest: Long, crashes: Int) {
-        if (storedCounts.size >= MAX_DIGESTS && contentDigest !in storedCounts) return
-        storedCounts.merge(contentDigest, crashes, ::maxOf)
+    private fun isRefused(suspect: Suspect, now: Duration): Boolean {
+        val crashes = accusations[suspect] ?: return false
+        crashes.values.removeIf { now - it.at > settings.retention }
+        return when (suspect) {
+            is Suspect.Content -> crashes.size >= settings.contentLimit
+            is Suspect.Part -> weight(crashes.values) >= settings.partLimit
+        }
     }
 
-    fun isRefused(contentDigest: Long): Boolean =
-        maxOf(localCounts[contentDigest] ?: 0, storedCounts[contentDigest] ?: 0) >= crashLimit
+    /**
+     * Returns the total weight of [crashes]. Crashes between which no answer began count once:
+     * several endpoints that fail together have another cause.
+     */
+    private fun weight(crashes: Collection<Accusation>): Int = crashes.groupBy {
+        it.answersBefore
+    }.values.sumOf { it.maxOf { one -> one.evidence.weight } }
 
     private companion object {
-        /** Bounds memory; far above the number of crashes in an hour. */
-        const val MAX_DIGESTS = 10_000
+        /** Bounds memory; far above the number of crashes within the retention. */
+        const val MAX_SUSPECTS = 10_000
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
@@ -24,9 +24,11 @@
     /**
      * The request was sent, but the answer is missing or incomplete; the request may have run.
      *
-     * @property crash whether the endpoint closed the connection without any answer
+     * @property crash whether the endpoint crashed before any content of the answer arrived
+     * @property answering whether the head of the answer had arrived
      */
-    data class Broken(val cause: String, val crash: Boolean) : AttemptEnd
+    data class Broken(val cause: String, val crash: Boolean, val answering: Boolean = false) :
+        AttemptEnd
 }
 
 /** An action that [EntryDispatcher] requests from the router. */
@@ -63,9 +65,14 @@
     /** Cancel the attempt at a silent endpoint, so that the request can go to another one. */
     data class CancelAttempt(override val request: EntryRequest) : EntryAction
 
-    /**
-     * Record in the store that this host has counted [crashes] endpoint crashes under the request's
-     * content.
-     */
-    data class RecordCrash(override val request: EntryRequest, val crashes: Int) : EntryAction
+    /** Tell the other hosts that the [crash] makes the request's suspects count as accused. */
+    data class ReportCrash(
+        override val request: EntryRequest,
+        val crash: EndpointCrash,
+        val evidence: CrashEvidence
+    ) : EntryAction
+
+    /** Tell the other hosts that an endpoint began to answer a request with [cleared] suspects. */
+    data class ReportCleared(override val request: EntryRequest, val cleared: List<Suspect>) :
+        EntryAction
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryConfig.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryConfig.kt
@@ -5,10 +5,12 @@
 package org.hemlockpond.core.entry
 
 import kotlin.time.Duration
+import kotlinx.serialization.Serializable
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.RouteId
 
 /** The name of a group of endpoints that serve the same requests. */
+@Serializable
 @JvmInline
 value class ServiceId(val value: String) {
     override fun toString(): String = value
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -51,12 +51,12 @@
                 return loads.values.filter { it.endpoint.version != held }.ifEmpty { loads.values }
             }
         val waiting = WaitingRequests()
+        val suspects = CrashSuspects(settings.crashes)
         val retries = RetryBudget(settings.retryRatio, settings.retryBurst)
     }
 
     private val choice = EndpointChoice(domain, settings)
     private val shedding = LoadShedding(settings, random)
-    private val suspects = CrashSuspects(settings.crashLimit)
     private val services = HashMap<ServiceId, ServiceState>()
     private val open = HashMap<RequestId, OpenRequest>()
     private var serviceConfigs: Map<ServiceId, EntryService> = emptyMap()
@@ -114,7 +114,7 @@
     fun submit(request: EntryRequest, now: Duration): List<EntryAction> = buildList {
         val service = service(request.service)
         service.retries.deposit()
-        if (suspects.isRefused(request.contentDigest)) {
+        if (service.suspects.refused(request.suspects, now) != null) {
             add(refusal(request, ErrorKind.SUSPECT_NOT_RUN))
             return@buildList
         }
@@ -203,8 +203,16 @@
     }
 
     /** Notes that the first event, or the answer of a plain service, arrived. */
-    fun answerStarted(request: RequestId, now: Duration) {
-        open[request]?.currentLoad?.answerStarted(request, now)
+    fun answerStarted(id: RequestId, now: Duration): List<EntryAction> {
+        val entry = open[id] ?: return emptyList()
+        entry.currentLoad?.answerStarted(id, now)
+        val request = entry.request
+        val cleared = service(request.service).suspects.answerBegan(request.suspects)
+        return if (cleared.isEmpty()) {
+            emptyList()
+        } else {
+            listOf(EntryAction.ReportCleared(request, cleared))
+        }
     }
 
     /**
@@ -242,7 +250,7 @@
             is AttemptEnd.Broken -> {
                 entry.possibleRuns++
                 entry.lastFailure = ErrorKind.ENDPOINT_FAILED
-                attemptBroken(service, entry, end, isRetryable, now)
+                attemptBroken(service, entry, load.endpoint, end, isRetryable, now)
             }
         }
         sendWaiting(service, now)
@@ -268,17 +276,22 @@
     private fun MutableList<EntryAction>.attemptBroken(
         service: ServiceState,
         entry: OpenRequest,
+        endpoint: ListedEndpoint,
         end: AttemptEnd.Broken,
         isRetryable: Boolean,
         now: Duration
     ) {
         val request = entry.request
         if (end.crash) {
-            val crashes = suspects.addCrash(request.contentDigest)
-            add(EntryAction.RecordCrash(request, crashes))
+            val crash = EndpointCrash(endpoint.id, endpoint.startedMillis)
+            val evidence =
+                if (end.answering) CrashEvidence.ANSWERING else CrashEvidence.UNANSWERED
+            service.suspects.addCrash(crash, request.suspects.associateWith { evidence }, now)
+            add(EntryAction.ReportCrash(request, crash, evidence))
+            withdrawRefused(service, now)
         }
         val allowed = isRetryable && request.route.retrySafety != RetrySafety.UNSAFE
-        if (!allowed || suspects.isRefused(request.contentDigest)) {
+        if (!allowed || service.suspects.refused(request.suspects, now) != null) {
             giveUp(entry, ErrorKind.ENDPOINT_FAILED)
         } else {
             retry(service, entry, usesRetryBudget = true, now)
@@ -390,9 +403,33 @@
         service(entry.request.service).waiting.remove(entry.request)
     }
 
-    /** Takes over the number of crashes under [contentDigest] that all hosts have recorded. */
-    fun crashesRecorded(contentDigest: Long, crashes: Int) =
-        suspects.mergeStoredCrashes(contentDigest, crashes)
+    /** Adds what another host knows about a crash. */
+    fun crashReported(report: CrashReport, now: Duration): List<EntryAction> = buildList {
+        val service = service(report.service)
+        service.suspects.addCrash(report.crash, report.suspects, now)
+        withdrawRefused(service, now)
+        sendWaiting(service, now)
+    }
+
+    /** Clears suspects of requests to [id] for which an answer has begun at another host. */
+    fun suspectsCleared(id: ServiceId, suspects: Collection<Suspect>) =
+        service(id).suspects.clear(suspects)
+
+    /** Ends the requests that are refused by now and wait, or whose answer hasn't begun. */
+    private fun MutableList<EntryAction>.withdrawRefused(service: ServiceState, now: Duration) {
+        for (entry in open.values.toList()) {
+            val request = entry.request
+            if (service(request.service) !== service) continue
+            if (service.suspects.refused(request.suspects, now) == null) continue
+            val load = entry.currentLoad
+            if (load == null) {
+                if (service.waiting.remove(request)) giveUp(entry, ErrorKind.SUSPECT_NOT_RUN)
+            } else if (load.awaitsAnswer(request.id)) {
+                entry.possibleRuns++
+                giveUp(entry, ErrorKind.ENDPOINT_FAILED)
+            }
+        }
+    }
 
     /** Handles timeouts and silent endpoints; to be called every few tens of milliseconds. */
     fun tick(now: Duration): List<EntryAction> = buildList {
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryRequest.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryRequest.kt
@@ -41,6 +41,12 @@
     /** The time until which an answer is on time. */
     val goalDeadline: Duration get() = arrival + route.goal
 
+    /** What may crash an endpoint that runs the request. */
+    val suspects: List<Suspect> by lazy(LazyThreadSafetyMode.NONE) {
+        prompt?.parts.orEmpty().dropLast(1).map { Suspect.Part(it.id) } +
+            Suspect.Content(contentDigest)
+    }
+
     /** The maximum number of tokens that the request may cost its customer. */
     val maxTokens: Long get() = prompt?.let { it.tokens + it.maxAnswerTokens } ?: 0
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -53,8 +53,7 @@
  *   endpoint to have moved to others
  * @property retryAfterJitter the maximum random addition to [retryAfterMin], which spreads the
  *   callers' retries
- * @property crashLimit the number of endpoint crashes under the same content from which on the
- *   content is refused
+ * @property crashes when requests are refused because they crash endpoints
  */
 data class EntrySettings(
     val health: RoutingSettings = RoutingSettings(
@@ -85,5 +84,5 @@
     val fullBackoff: Duration = 100.milliseconds,
     val retryAfterMin: Duration = 300.milliseconds,
     val retryAfterJitter: Duration = 500.milliseconds,
-    val crashLimit: Int = 2
+    val crashes: CrashSettings = CrashSettings()
 )
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
@@ -104,10 +104,23 @@
         record(dispatcher.attemptEnded(request.id, end, now, isRetryable))
 
     fun answered(request: EntryRequest, status: Int = 200) {
-        dispatcher.answerStarted(request.id, now)
+        answerStarted(request)
         attemptEnded(request, AttemptEnd.Answered(status))
     }
 
+    fun answerStarted(request: EntryRequest) = record(dispatcher.answerStarted(request.id, now))
+
+    /** Another host reports that requests with [suspects] were unanswered at a crash. */
+    fun crashReported(
+        endpoint: String,
+        vararg suspects: Suspect,
+        evidence: CrashEvidence = CrashEvidence.UNANSWERED
+    ) {
+        val crash = EndpointCrash(EndpointId(endpoint), startedMillis = 1)
+        val report = CrashReport(service, crash, suspects.associateWith { evidence })
+        record(dispatcher.crashReported(report, now))
+    }
+
     fun advance(by: Duration) {
         val end = now + by
         while (now < end) {
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
@@ -159,7 +159,7 @@
     @Test
     fun crashesThatOtherHostsRecordedCount() {
         bed.addEndpoints("e1")
-        bed.dispatcher.crashesRecorded(contentDigest = 7, crashes = 2)
+        listOf("e8", "e9").forEach { bed.crashReported(it, Suspect.Content(7)) }
         val request = bed.submit(bed.request(content = 7))
         assertIs<EntryAction.Refuse>(bed.lastAction(request))
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -63,7 +63,7 @@
         "an endpoint entry can't be read; it names no endpoint"
     ),
     PAYMENT_ENTERED(1807, Level.INFO, "a payment was entered in a budget"),
-    CRASH_RECORDED(1808, Level.WARN, "content under which an endpoint crashed was recorded"),
+    CRASH_RECORDED(1808, Level.WARN, "suspects of an endpoint crash, or sound ones, were recorded"),
     SETTINGS_RELOADED(1809, Level.INFO, "settings file read again"),
     SETTINGS_REFUSED(1810, Level.ERROR, "the changed settings file is invalid; kept the last one"),
     RUN_ENDED(1811, Level.INFO, "an earlier run on this host has ended; its use is bounded"),
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
@@ -0,0 +1,218 @@
+/*
+ * Shares crashes of endpoints, and the suspects that turned out to be sound, between the hosts through
+ * the store. Records are bound to a lease, so that the store drops them when they no longer count.
+ * Hosts apply them in the order of their revisions.
+ */
+package org.hemlockpond.router.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.minutes
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.Serializable
+import org.hemlockpond.core.EndpointId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.entry.CrashEvidence
+import org.hemlockpond.core.entry.CrashReport
+import org.hemlockpond.core.entry.EndpointCrash
+import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.Suspect
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.decodeRecord
+import org.hemlockpond.router.encodeRecord
+import org.hemlockpond.router.log
+import org.hemlockpond.store.ConditionalWrite
+import org.hemlockpond.store.KeyValueStore
+import org.hemlockpond.store.LeaseId
+import org.hemlockpond.store.LeaseResult
+import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.WriteResult
+
+/** Suspects by kind. */
+@Serializable
+internal data class StoredSuspects(
+    val parts: Set<String> = emptySet(),
+    val contents: Set<Long> = emptySet()
+) {
+    fun toSuspects(): List<Suspect> =
+        parts.map { Suspect.Part(it) } + contents.map { Suspect.Content(it) }
+
+    companion object {
+        fun of(suspects: Collection<Suspect>) = StoredSuspects(
+            suspects.filterIsInstance<Suspect.Part>().mapTo(LinkedHashSet()) { it.id },
+            suspects.filterIsInstance<Suspect.Content>().mapTo(LinkedHashSet()) { it.digest }
+        )
+    }
+}
+
+/**
+ * A record of one host: suspects of a crash, or suspects that an endpoint began to answer.
+ *
+ * @property endpoint the endpoint that crashed; null if the suspects are [cleared]
+ * @property started the start of the crashed process in Unix milliseconds
+ */
+@Serializable
+internal data class StoredCrashRecord(
+    val service: ServiceId,
+    val endpoint: EndpointId? = null,
+    val started: Long = 0,
+    val answering: StoredSuspects = StoredSuspects(),
+    val unanswered: StoredSuspects = StoredSuspects(),
+    val cleared: StoredSuspects = StoredSuspects()
+) {
+    fun toReport(): CrashReport? = endpoint?.let { id ->
+        CrashReport(
+            service,
+            EndpointCrash(id, started),
+            unanswered.toSuspects().associateWith { CrashEvidence.UNANSWERED } +
+                answering.toSuspects().associateWith { CrashEvidence.ANSWERING }
+        )
+    }
+}
+
+/** Receives the records of other hosts. */
+internal interface CrashListener {
+    fun crashReported(report: CrashReport)
+
+    fun suspectsCleared(service: ServiceId, suspects: List<Suspect>)
+}
+
+internal class CrashRecords(
+    self: RouterId,
+    private val store: KeyValueStore,
+    private val settings: EntryRouterSettings,
+    private val scope: CoroutineScope,
+    private val clock: RouterClock,
+    private val listener: CrashListener
+) : CrashReporter {
+    private data class CrashOf(val service: ServiceId, val crash: EndpointCrash)
+
+    private val pendingCrashes = HashMap<CrashOf, HashMap<Suspect, CrashEvidence>>()
+    private val pendingClearances = HashMap<ServiceId, LinkedHashSet<Suspect>>()
+    private val router = self.value.replace('/', '.')
+    private var lastNumber = 0
+    private var appliedRevision = 0L
+    private var lease: LeaseId? = null
+    private var leaseGrantedAt = -Duration.INFINITE
+
+    /** Writes a crash after a short delay, together with the suspects of this host's other requests. */
+    override fun reportCrash(
+        service: ServiceId,
+        crash: EndpointCrash,
+        suspects: Map<Suspect, CrashEvidence>
+    ) {
+        val of = CrashOf(service, crash)
+        val known = pendingCrashes[of]
+        if (known != null) {
+            suspects.forEach { (suspect, evidence) -> known.merge(suspect, evidence, ::maxOf) }
+            return
+        }
+        pendingCrashes[of] = HashMap(suspects)
+        scope.launch {
+            delay(CRASH_DELAY)
+            val all = pendingCrashes.remove(of).orEmpty()
+            write(
+                StoredCrashRecord(
+                    service,
+                    crash.endpoint,
+                    crash.startedMillis,
+                    StoredSuspects.of(all.filterValues { it == CrashEvidence.ANSWERING }.keys),
+                    StoredSuspects.of(all.filterValues { it == CrashEvidence.UNANSWERED }.keys)
+                )
+            )
+        }
+    }
+
+    /** Writes that suspects are sound after a delay, in which most crashes have been reported. */
+    override fun reportCleared(service: ServiceId, suspects: Collection<Suspect>) {
+        val known = pendingClearances[service]
+        if (known != null) {
+            known += suspects
+            return
+        }
+        pendingClearances[service] = LinkedHashSet(suspects)
+        scope.launch {
+            delay(CLEARANCE_DELAY)
+            val all = pendingClearances.remove(service).orEmpty()
+            write(StoredCrashRecord(service, cleared = StoredSuspects.of(all)))
+        }
+    }
+
+    /** Writes [record] until the store has it, or until it no longer counts. */
+    private suspend fun write(record: StoredCrashRecord) {
+        val key = "$PREFIX$router/${++lastNumber}"
+        val text = encodeRecord(StoredCrashRecord.serializer(), record)
+        val end = now() + settings.entry.crashes.retention
+        while (now() < end) {
+            val lease = currentLease()
+            val result = lease?.let { store.commit(listOf(ConditionalWrite(key, 0, text, it))) }
+            // Only this router writes the key, so a conflict shows an earlier attempt's success.
+            if (result is WriteResult.Applied || result is WriteResult.Conflict) {
+                log(
+                    LogEvent.CRASH_RECORDED,
+                    "key" to key,
+                    "endpoint" to record.endpoint,
+                    "answering" to record.answering.toSuspects(),
+                    "unanswered" to record.unanswered.toSuspects(),
+                    "cleared" to record.cleared.toSuspects()
+                )
+                return
+            }
+            // The lease may have ended.
+            if (result is WriteResult.NotSent) this.lease = null
+            delay(settings.storeRetryDelay)
+        }
+    }
+
+    /** Returns a lease that lasts long enough; null if the store didn't grant one. */
+    private suspend fun currentLease(): LeaseId? {
+        lease?.let { if (now() - leaseGrantedAt < LEASE_REUSE) return it }
+        val sentAt = now()
+        val result = store.grantLease(LEASE_TTL) as? LeaseResult.Held ?: return null
+        lease = result.id
+        leaseGrantedAt = sentAt
+        return result.id
+    }
+
+    private fun now() = clock.now().elapsed
+
+    /** Whether the records that were there at the start of this router have been read. */
+    var isRead = false
+        private set
+
+    /** Applies a complete read of the records. */
+    fun applyAll(values: List<StoredValue>) {
+        apply(values.map { StoreChange(it.key, it.value, it.revision) })
+        isRead = true
+    }
+
+    /** Applies new records of other hosts. */
+    fun apply(changes: List<StoreChange>) {
+        for (change in changes.sortedBy { it.revision }) {
+            val text = change.value ?: continue
+            if (change.revision <= appliedRevision) continue
+            appliedRevision = change.revision
+            if (change.key.startsWith("$PREFIX$router/")) continue
+            val record = decodeRecord(StoredCrashRecord.serializer(), change.key, text) ?: continue
+            record.toReport()?.let { listener.crashReported(it) }
+            val cleared = record.cleared.toSuspects()
+            if (cleared.isNotEmpty()) listener.suspectsCleared(record.service, cleared)
+        }
+    }
+
+    companion object {
+        const val PREFIX = "hemlockpond/suspects/"
+
+        /** The requests to a crashed endpoint fail within a few milliseconds of each other. */
+        private val CRASH_DELAY = 10.milliseconds
+        private val CLEARANCE_DELAY = 100.milliseconds
+
+        /** The longest lease that the platform's store grants. */
+        private val LEASE_TTL = 10.minutes
+        private val LEASE_REUSE = 2.minutes
+    }
+}
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
@@ -7,11 +7,13 @@
 import io.netty.bootstrap.Bootstrap
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
+import io.netty.channel.ConnectTimeoutException
 import io.netty.channel.EventLoop
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
 import io.netty.handler.codec.http.HttpClientCodec
+import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import org.hemlockpond.router.RouterClock
@@ -41,7 +43,7 @@
     fun acquire(
         address: InetSocketAddress,
         maxIdle: Duration,
-        done: (EndpointConnection?, String?) -> Unit
+        done: (EndpointConnection?, Throwable?) -> Unit
     ) {
         val now = clock.now().elapsed
         val kept = idle[address]
@@ -59,7 +61,20 @@
         open(address, done)
     }
 
-    private fun open(address: InetSocketAddress, done: (EndpointConnection?, String?) -> Unit) {
+    /**
+     * Passes [done] whether an endpoint listens on [address]. A connection that shows it is kept for
+     * later requests. No answer within the connect timeout counts as listening: only a refused
+     * connection shows that the process has ended.
+     */
+    fun probe(address: InetSocketAddress, done: (Boolean) -> Unit) {
+        open(address) { connection, cause ->
+            if (connection != null) Owner(address).connectionIdle(connection, null)
+            val isRefused = cause is ConnectException && cause !is ConnectTimeoutException
+            done(!isRefused)
+        }
+    }
+
+    private fun open(address: InetSocketAddress, done: (EndpointConnection?, Throwable?) -> Unit) {
         openedConnections++
         val connection = EndpointConnection(dialect, Owner(address))
         Bootstrap()
@@ -87,7 +102,7 @@
                 if (it.isSuccess) {
                     done(connection, null)
                 } else {
-                    done(null, it.cause().message ?: it.cause().javaClass.simpleName)
+                    done(null, it.cause())
                 }
             }
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -261,7 +261,7 @@
         mayHaveRun = true
         listener.attemptEnded(
             this,
-            AttemptEnd.Broken(cause, crash = false)
+            AttemptEnd.Broken(cause, crash = !answerBegan, answering = headReceived)
         )
     }
 
@@ -281,7 +281,11 @@
         mayHaveRun = true
         listener.attemptEnded(
             this,
-            AttemptEnd.Broken(cause, crash = connectionLost && !headReceived)
+            AttemptEnd.Broken(
+                cause,
+                crash = connectionLost && !answerBegan,
+                answering = headReceived
+            )
         )
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -23,7 +23,10 @@
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.entry.AttemptEnd
+import org.hemlockpond.core.entry.CrashEvidence
+import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
+import org.hemlockpond.core.entry.EndpointCrash
 import org.hemlockpond.core.entry.EntryAction
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryCustomer
@@ -33,15 +36,20 @@
 import org.hemlockpond.core.entry.RetrySafety
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.core.entry.TokenRetryAfter
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.RouterMetrics
 import org.hemlockpond.router.log
 
-/**
- * @param recordCrash reports a crash to the other routers: the content digest and the crash count
- */
+/** Tells the other hosts what this one knows about crashes of endpoints. */
+internal interface CrashReporter {
+    fun reportCrash(service: ServiceId, crash: EndpointCrash, suspects: Map<Suspect, CrashEvidence>)
+
+    fun reportCleared(service: ServiceId, suspects: Collection<Suspect>)
+}
+
 internal class EntryRequests(
     private val settings: EntryRouterSettings,
     private val dialect: EntryDialect,
@@ -51,10 +59,10 @@
     private val clock: RouterClock,
     private val metrics: RouterMetrics,
     private val loop: EventLoop,
-    private val recordCrash: (Long, Int) -> Unit
+    private val crashReporter: CrashReporter
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
-    private val crashes = HashMap<Long, MutableSet<String>>()
+    private val crashCheck = CrashCheck(pool)
     private val tokenRetryAfter = TokenRetryAfter()
     private var config: EntryConfig? = null
 
@@ -75,11 +83,10 @@
     fun endpointsChanged(changes: List<DirectoryChange>) =
         perform(dispatcher.endpointsChanged(changes, now()))
 
-    fun crashRecorded(content: Long, record: String) {
-        val known = crashes.getOrPut(content) { HashSet(2) }
-        known += record
-        dispatcher.crashesRecorded(content, known.size)
-    }
+    fun crashReported(report: CrashReport) = perform(dispatcher.crashReported(report, now()))
+
+    fun suspectsCleared(service: ServiceId, suspects: List<Suspect>) =
+        dispatcher.suspectsCleared(service, suspects)
 
     fun tick(now: Duration) = perform(dispatcher.tick(now))
 
@@ -231,8 +238,14 @@
                     attemptEnded(exchange, AttemptEnd.Broken("endpoint silent", crash = false))
                 }
 
-                is EntryAction.RecordCrash ->
-                    recordCrash(action.request.contentDigest, action.crashes)
+                is EntryAction.ReportCrash -> crashReporter.reportCrash(
+                    action.request.service,
+                    action.crash,
+                    action.request.suspects.associateWith { action.evidence }
+                )
+
+                is EntryAction.ReportCleared ->
+                    crashReporter.reportCleared(action.request.service, action.cleared)
             }
         }
     }
@@ -269,7 +282,7 @@
                     connection?.channel?.close()
 
                 connection == null -> {
-                    logFailedAttempt(exchange, "not connected: $cause")
+                    logFailedAttempt(exchange, "not connected: ${cause?.message}")
                     perform(
                         dispatcher.attemptEnded(
                             exchange.request.id,
@@ -330,10 +343,24 @@
         ) {
             exchange.firstAnswerDelay = now - exchange.request.arrival
         }
-        dispatcher.answerStarted(exchange.request.id, now)
+        perform(dispatcher.answerStarted(exchange.request.id, now))
     }
 
     override fun attemptEnded(exchange: EntryExchange, end: AttemptEnd) {
+        val address = exchange.endpointAddress
+        if (end !is AttemptEnd.Broken || !end.crash || address == null) {
+            attemptCompleted(exchange, end)
+            return
+        }
+        val attempt = exchange.attempts
+        crashCheck.start(address) { hasCrashed ->
+            if (!exchange.finished && exchange.attempts == attempt) {
+                attemptCompleted(exchange, end.copy(crash = hasCrashed))
+            }
+        }
+    }
+
+    private fun attemptCompleted(exchange: EntryExchange, end: AttemptEnd) {
         if (end !is AttemptEnd.Answered) logFailedAttempt(exchange, end.toString())
         val repeatable = !exchange.headSent ||
             exchange.request.route.retrySafety == RetrySafety.RESUMABLE
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -25,6 +25,7 @@
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
 import org.hemlockpond.core.entry.EndpointDirectory
 import org.hemlockpond.core.entry.EntryConfig
@@ -32,6 +33,7 @@
 import org.hemlockpond.core.entry.ListedEndpoint
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
 import org.hemlockpond.router.RouterMetrics
@@ -78,7 +80,8 @@
         HostMarks(id, settings.callerAddress.toString(), store, clock, SystemMachineClock()),
         BudgetEvents()
     )
-    private val requests =
+    private val crashRecords = CrashRecords(id, store, settings, scope, clock, CrashEvents())
+    private val requests: EntryRequests =
         EntryRequests(
             settings,
             dialect,
@@ -88,9 +91,10 @@
             clock,
             metrics,
             loop,
-            ::recordCrash
+            crashRecords
         )
-    private val fleetWatcher = FleetWatcher(store, format, settings, scope, FleetEvents())
+    private val fleetWatcher =
+        FleetWatcher(store, format, settings, scope, crashRecords, FleetEvents())
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
@@ -205,7 +209,8 @@
             clock.now().elapsed - storeAnsweredAt > settings.storeSilenceLimit
 
     private val isReady: Boolean
-        get() = config != null && endpointListRead && !stopping && !isCutOffFromStore
+        get() = config != null && endpointListRead && crashRecords.isRead && !stopping &&
+            !isCutOffFromStore
 
     private fun readiness(): StatusPage =
         if (isReady) StatusPage(OK, "ready\n") else StatusPage(UNAVAILABLE, "not ready\n")
@@ -237,9 +242,6 @@
         "version" to endpoint.version
     )
 
-    private fun recordCrash(contentDigest: Long, crashes: Int) =
-        fleetWatcher.recordCrash(contentDigest, id.value.replace('/', '.'), crashes)
-
     /**
      * Stops the router: reports not ready, finishes the open requests and returns the unspent
      * tokens. Blocks until this is done or the stop limit is reached.
@@ -301,6 +303,13 @@
         }
     }
 
+    private inner class CrashEvents : CrashListener {
+        override fun crashReported(report: CrashReport) = requests.crashReported(report)
+
+        override fun suspectsCleared(service: ServiceId, suspects: List<Suspect>) =
+            requests.suspectsCleared(service, suspects)
+    }
+
     private inner class FleetEvents : FleetListener {
         override fun configReceived(config: EntryConfig, revision: Long) {
             val known = this@EntryRouter.config
@@ -342,9 +351,6 @@
         override fun endpointInvalid(id: EndpointId) =
             applyEndpointChanges(directory.removeUnreadable(id))
 
-        override fun crashRecorded(contentDigest: Long, record: String) =
-            requests.crashRecorded(contentDigest, record)
-
         override fun storeCallEnded(answered: Boolean, cause: String?) {
             val now = clock.now().elapsed
             if (answered) storeAnsweredAt = now
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -24,7 +24,6 @@
 import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
-import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.StoreChange
@@ -47,11 +46,6 @@
 
     fun endpointInvalid(id: EndpointId)
 
-    /**
-     * A router recorded a crash for requests with [contentDigest]; [record] identifies the record.
-     */
-    fun crashRecorded(contentDigest: Long, record: String)
-
     fun storeCallEnded(answered: Boolean, cause: String?)
 }
 
@@ -60,6 +54,7 @@
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
     private val scope: CoroutineScope,
+    private val crashRecords: CrashRecords,
     private val listener: FleetListener
 ) {
     private val loggedInvalidKeys = HashSet<String>()
@@ -82,7 +77,7 @@
                 pause = settings.endpointWatchPause
             )
         }
-        scope.launch { readAndWatch(CRASHES_PREFIX, ::crashesRead, ::crashesChanged) }
+        scope.launch { readAndWatch(CrashRecords.PREFIX, ::crashesRead, ::crashesChanged) }
     }
 
     /**
@@ -240,36 +235,16 @@
         }
 
     private fun crashesRead(read: ReadResult.Values): Boolean {
-        read.values.forEach { reportCrash(it.key) }
+        crashRecords.applyAll(read.values)
         return false
     }
 
     private fun crashesChanged(changes: List<StoreChange>): Boolean {
-        changes.filter { it.value != null }.forEach { reportCrash(it.key) }
+        crashRecords.apply(changes)
         return false
     }
 
-    private fun reportCrash(key: String) {
-        val name = key.removePrefix(CRASHES_PREFIX)
-        val contentDigest = name.substringBefore('/').toULongOrNull(HEX) ?: return
-        listener.crashRecorded(contentDigest.toLong(), name)
-    }
-
-    /**
-     * Records crash [number] of this [router] for [contentDigest], for the other routers to read.
-     */
-    fun recordCrash(contentDigest: Long, router: String, number: Int) {
-        val key = "$CRASHES_PREFIX${contentDigest.toULong().toString(HEX)}/$router/$number"
-        scope.launch {
-            val result = store.commit(listOf(ConditionalWrite(key, 0, number.toString())))
-            log(LogEvent.CRASH_RECORDED, "content" to key, "result" to result)
-        }
-    }
-
     private companion object {
-        const val CRASHES_PREFIX = "hemlockpond/crashes/"
-        const val HEX = 16
-
         /** Limits the memory used to remember logged entries. */
         const val MAX_LOGGED_KEYS = 1_000
     }
