Divide the limit that an endpoint names between the hosts

Callers of an endpoint in need saw it overloaded further: it named a limit of 3.6 requests a second for all hosts together and got 46 in 4 s.

Cause: no component read the limit. A host that keeps it alone doesn't help either: seven hosts would send seven times as much.

Change: a host that an endpoint has told its limit claims a share in the store, bound to a lease of 10 s. The earliest claims share the limit, at most as many as requests a second; hosts without a share send nothing. A host stops when its lease may have ended. Crash records and claims have one prefix, so the store calls of an idle host stay the same.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
@@ -11,7 +11,6 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.minutes
-import org.hemlockpond.core.EndpointId
 
 /** What requests that crash endpoints may have in common. */
 sealed interface Suspect {
@@ -22,9 +21,6 @@
     data class Content(val digest: Long) : Suspect
 }
 
-/** The crash of an endpoint; [startedMillis] distinguishes the processes under one id. */
-data class EndpointCrash(val endpoint: EndpointId, val startedMillis: Long)
-
 /**
  * How far the endpoint had come with a request when it crashed.
  *
@@ -38,10 +34,13 @@
     ANSWERING(2)
 }
 
-/** What one host knows about a crash: the suspects of the requests that it had sent there. */
+/**
+ * What one host knows about a crash: the suspects of the requests that it had sent to the [crashed]
+ * process.
+ */
 data class CrashReport(
     val service: ServiceId,
-    val crash: EndpointCrash,
+    val crashed: EndpointProcess,
     val suspects: Map<Suspect, CrashEvidence>
 )
 
@@ -63,14 +62,14 @@
     /** @property answersBefore the number of answers that had begun before the crash */
     private class Accusation(val at: Duration, val answersBefore: Long, var evidence: CrashEvidence)
 
-    private val accusations = LinkedHashMap<Suspect, LinkedHashMap<EndpointCrash, Accusation>>()
+    private val accusations = LinkedHashMap<Suspect, LinkedHashMap<EndpointProcess, Accusation>>()
     private var answers = 0L
 
     /** Adds what this host or another one knows about a crash. */
-    fun addCrash(crash: EndpointCrash, suspects: Map<Suspect, CrashEvidence>, now: Duration) {
+    fun addCrash(crashed: EndpointProcess, suspects: Map<Suspect, CrashEvidence>, now: Duration) {
         for ((suspect, evidence) in suspects) {
             val crashes = accusations.getOrPut(suspect) { LinkedHashMap(2) }
-            val known = crashes.getOrPut(crash) { Accusation(now, answers, evidence) }
+            val known = crashes.getOrPut(crashed) { Accusation(now, answers, evidence) }
             if (evidence > known.evidence) known.evidence = evidence
         }
         while (accusations.size > MAX_SUSPECTS) accusations.remove(accusations.keys.first())
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
@@ -30,7 +30,12 @@
     val slots: Int,
     val leaving: Boolean,
     val startedMillis: Long
-)
+) {
+    val process: EndpointProcess get() = EndpointProcess(id, startedMillis)
+}
+
+/** One process of an endpoint; [startedMillis] distinguishes the processes under one id. */
+data class EndpointProcess(val endpoint: EndpointId, val startedMillis: Long)
 
 /** A change of the set of usable endpoints. */
 sealed interface DirectoryChange {
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -18,6 +18,7 @@
     var endpoint: ListedEndpoint,
     private val profile: EngineProfile?,
     private val settings: EntrySettings,
+    private val limit: EndpointLimit,
     onProbation: Boolean
 ) {
     private class SentRequest(
@@ -53,7 +54,8 @@
         get() = if (profile != null) profile.batchSize else endpoint.slots.coerceAtLeast(1)
 
     fun hasCapacity(now: Duration): Boolean =
-        running < capacity && now >= fullUntil && health.mayReceive(running, now) && !isSilent(now)
+        running < capacity && now >= fullUntil && health.mayReceive(running, now) &&
+            !isSilent(now) && limit.mayReceive(running, now)
 
     /** Pauses the endpoint after it refused a request because it is full. */
     fun markFull(now: Duration) {
@@ -119,6 +121,7 @@
         now: Duration
     ) {
         running++
+        limit.requestSent(now)
         val tokens = uncachedTokens(request.prompt, now, cacheProbability).let {
             it.own + it.shared
         }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
@@ -65,10 +65,10 @@
     /** Cancel the attempt at a silent endpoint, so that the request can go to another one. */
     data class CancelAttempt(override val request: EntryRequest) : EntryAction
 
-    /** Tell the other hosts that the [crash] makes the request's suspects count as accused. */
+    /** Tell the other hosts that the endpoint process [crashed] while it had the request. */
     data class ReportCrash(
         override val request: EntryRequest,
-        val crash: EndpointCrash,
+        val crashed: EndpointProcess,
         val evidence: CrashEvidence
     ) : EntryAction
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -18,7 +18,8 @@
 class EntryDispatcher(
     domain: FailureDomain,
     private val settings: EntrySettings = EntrySettings(),
-    private val random: Random = Random.Default
+    private val random: Random = Random.Default,
+    private val limits: EndpointLimits = EndpointLimits()
 ) {
     private class OpenRequest(val request: EntryRequest) {
         val triedEndpoints = HashSet<EndpointId>(2)
@@ -93,7 +94,9 @@
                     service(change.endpoint.service).loads[change.endpoint.id]
                         ?.let { it.endpoint = change.endpoint } ?: add(change.endpoint)
 
-                is DirectoryChange.Removed -> services.values.forEach { it.loads -= change.id }
+                is DirectoryChange.Removed -> services.values.forEach { service ->
+                    service.loads.remove(change.id)?.let { limits.remove(it.endpoint.process) }
+                }
             }
         }
         if (changes.isNotEmpty()) listedOnce = true
@@ -103,7 +106,13 @@
     private fun add(endpoint: ListedEndpoint) {
         val profile = serviceConfigs[endpoint.service]?.engine
         service(endpoint.service).loads[endpoint.id] =
-            EndpointLoad(endpoint, profile, settings, onProbation = false)
+            EndpointLoad(
+                endpoint,
+                profile,
+                settings,
+                limits.of(endpoint.process),
+                onProbation = false
+            )
     }
 
     private fun service(id: ServiceId): ServiceState = services.getOrPut(id) {
@@ -283,11 +292,11 @@
     ) {
         val request = entry.request
         if (end.crash) {
-            val crash = EndpointCrash(endpoint.id, endpoint.startedMillis)
             val evidence =
                 if (end.answering) CrashEvidence.ANSWERING else CrashEvidence.UNANSWERED
-            service.suspects.addCrash(crash, request.suspects.associateWith { evidence }, now)
-            add(EntryAction.ReportCrash(request, crash, evidence))
+            val suspects = request.suspects.associateWith { evidence }
+            service.suspects.addCrash(endpoint.process, suspects, now)
+            add(EntryAction.ReportCrash(request, endpoint.process, evidence))
             withdrawRefused(service, now)
         }
         val allowed = isRetryable && request.route.retrySafety != RetrySafety.UNSAFE
@@ -406,7 +415,7 @@
     /** Adds what another host knows about a crash. */
     fun crashReported(report: CrashReport, now: Duration): List<EntryAction> = buildList {
         val service = service(report.service)
-        service.suspects.addCrash(report.crash, report.suspects, now)
+        service.suspects.addCrash(report.crashed, report.suspects, now)
         withdrawRefused(service, now)
         sendWaiting(service, now)
     }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -53,6 +53,7 @@
  *   endpoint to have moved to others
  * @property retryAfterJitter the maximum random addition to [retryAfterMin], which spreads the
  *   callers' retries
+ * @property limits how the limits that endpoints name are kept
  * @property crashes when requests are refused because they crash endpoints
  */
 data class EntrySettings(
@@ -84,5 +85,6 @@
     val fullBackoff: Duration = 100.milliseconds,
     val retryAfterMin: Duration = 300.milliseconds,
     val retryAfterJitter: Duration = 500.milliseconds,
+    val limits: LimitSettings = LimitSettings(),
     val crashes: CrashSettings = CrashSettings()
 )
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
@@ -116,7 +116,7 @@
         vararg suspects: Suspect,
         evidence: CrashEvidence = CrashEvidence.UNANSWERED
     ) {
-        val crash = EndpointCrash(EndpointId(endpoint), startedMillis = 1)
+        val crash = EndpointProcess(EndpointId(endpoint), startedMillis = 1)
         val report = CrashReport(service, crash, suspects.associateWith { evidence })
         record(dispatcher.crashReported(report, now))
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
@@ -16,7 +16,7 @@
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.entry.CrashEvidence
 import org.hemlockpond.core.entry.CrashReport
-import org.hemlockpond.core.entry.EndpointCrash
+import org.hemlockpond.core.entry.EndpointProcess
 import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.router.LogEvent
@@ -29,7 +29,6 @@
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
 import org.hemlockpond.store.StoreChange
-import org.hemlockpond.store.StoredValue
 import org.hemlockpond.store.WriteResult
 
 /** Suspects by kind. */
@@ -67,7 +66,7 @@
     fun toReport(): CrashReport? = endpoint?.let { id ->
         CrashReport(
             service,
-            EndpointCrash(id, started),
+            EndpointProcess(id, started),
             unanswered.toSuspects().associateWith { CrashEvidence.UNANSWERED } +
                 answering.toSuspects().associateWith { CrashEvidence.ANSWERING }
         )
@@ -89,7 +88,7 @@
     private val clock: RouterClock,
     private val listener: CrashListener
 ) : CrashReporter {
-    private data class CrashOf(val service: ServiceId, val crash: EndpointCrash)
+    private data class CrashOf(val service: ServiceId, val crashed: EndpointProcess)
 
     private val pendingCrashes = HashMap<CrashOf, HashMap<Suspect, CrashEvidence>>()
     private val pendingClearances = HashMap<ServiceId, LinkedHashSet<Suspect>>()
@@ -102,10 +101,10 @@
     /** Writes a crash after a short delay, together with the suspects of this host's other requests. */
     override fun reportCrash(
         service: ServiceId,
-        crash: EndpointCrash,
+        crashed: EndpointProcess,
         suspects: Map<Suspect, CrashEvidence>
     ) {
-        val of = CrashOf(service, crash)
+        val of = CrashOf(service, crashed)
         val known = pendingCrashes[of]
         if (known != null) {
             suspects.forEach { (suspect, evidence) -> known.merge(suspect, evidence, ::maxOf) }
@@ -118,8 +117,8 @@
             write(
                 StoredCrashRecord(
                     service,
-                    crash.endpoint,
-                    crash.startedMillis,
+                    crashed.endpoint,
+                    crashed.startedMillis,
                     StoredSuspects.of(all.filterValues { it == CrashEvidence.ANSWERING }.keys),
                     StoredSuspects.of(all.filterValues { it == CrashEvidence.UNANSWERED }.keys)
                 )
@@ -180,16 +179,6 @@
 
     private fun now() = clock.now().elapsed
 
-    /** Whether the records that were there at the start of this router have been read. */
-    var isRead = false
-        private set
-
-    /** Applies a complete read of the records. */
-    fun applyAll(values: List<StoredValue>) {
-        apply(values.map { StoreChange(it.key, it.value, it.revision) })
-        isRead = true
-    }
-
     /** Applies new records of other hosts. */
     fun apply(changes: List<StoreChange>) {
         for (change in changes.sortedBy { it.revision }) {
@@ -205,7 +194,7 @@
     }
 
     companion object {
-        const val PREFIX = "hemlockpond/suspects/"
+        const val PREFIX = "hemlockpond/shared/suspects/"
 
         /** The requests to a crashed endpoint fail within a few milliseconds of each other. */
         private val CRASH_DELAY = 10.milliseconds
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -28,9 +28,9 @@
 import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlin.time.Duration
-import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.entry.AttemptEnd
+import org.hemlockpond.core.entry.EndpointProcess
 import org.hemlockpond.core.entry.EntryRequest
 
 /** Receives the events of an [EntryExchange]; all calls are on the event loop. */
@@ -40,6 +40,9 @@
     /** The first event of a stream, or the head of a plain answer, arrived. */
     fun answerStarted(exchange: EntryExchange)
 
+    /** An answer named a limit of requests a second, or none if [perSecond] is null. */
+    fun limitNamed(exchange: EntryExchange, perSecond: Double?)
+
     fun attemptEnded(exchange: EntryExchange, end: AttemptEnd)
 }
 
@@ -94,12 +97,14 @@
     var mayHaveRun = false
         private set
 
+    /** The endpoint of the last attempt. */
+    var endpoint: EndpointProcess? = null
+
     /** The address of the last attempt's endpoint. */
     var endpointAddress: InetSocketAddress? = null
 
     // Values for the log.
     var attempts = 0
-    var endpoint: EndpointId? = null
     var firstAnswerDelay: Duration? = null
     var answeredStatus = 0
         private set
@@ -121,6 +126,9 @@
         listener.bytesReceived(this)
         headReceived = true
         status = response.status()
+        if (answer.requestLimit != null || answer.genuine) {
+            listener.limitNamed(this, answer.requestLimit)
+        }
         val rejection = checkAnswer(response, answer)
         if (rejection !is AttemptEnd.NotRun) mayHaveRun = true
         if (rejection != null) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
@@ -58,13 +58,16 @@
  * @property notRun whether the endpoint states that it didn't run the request
  * @property misdirected whether another endpoint has taken over the address
  * @property idleTimeout how long the endpoint keeps the connection open without a request
+ * @property requestLimit the requests a second that the endpoint takes from all hosts together; null
+ *   if it names no limit
  */
 data class AnswerHead(
     val requestId: RequestId?,
     val genuine: Boolean,
     val notRun: Boolean,
     val misdirected: Boolean,
-    val idleTimeout: Duration?
+    val idleTimeout: Duration?,
+    val requestLimit: Double? = null
 )
 
 /** Reads and writes the headers of callers and endpoints. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -26,7 +26,7 @@
 import org.hemlockpond.core.entry.CrashEvidence
 import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
-import org.hemlockpond.core.entry.EndpointCrash
+import org.hemlockpond.core.entry.EndpointProcess
 import org.hemlockpond.core.entry.EntryAction
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryCustomer
@@ -45,7 +45,11 @@
 
 /** Tells the other hosts what this one knows about crashes of endpoints. */
 internal interface CrashReporter {
-    fun reportCrash(service: ServiceId, crash: EndpointCrash, suspects: Map<Suspect, CrashEvidence>)
+    fun reportCrash(
+        service: ServiceId,
+        crashed: EndpointProcess,
+        suspects: Map<Suspect, CrashEvidence>
+    )
 
     fun reportCleared(service: ServiceId, suspects: Collection<Suspect>)
 }
@@ -59,7 +63,8 @@
     private val clock: RouterClock,
     private val metrics: RouterMetrics,
     private val loop: EventLoop,
-    private val crashReporter: CrashReporter
+    private val crashReporter: CrashReporter,
+    private val limitRecords: LimitRecords
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
     private val crashCheck = CrashCheck(pool)
@@ -240,7 +245,7 @@
 
                 is EntryAction.ReportCrash -> crashReporter.reportCrash(
                     action.request.service,
-                    action.crash,
+                    action.crashed,
                     action.request.suspects.associateWith { action.evidence }
                 )
 
@@ -269,7 +274,7 @@
     private fun send(exchange: EntryExchange, action: EntryAction.Send) {
         val endpoint = action.endpoint
         exchange.attempts = action.attempt
-        exchange.endpoint = endpoint.id
+        exchange.endpoint = endpoint.process
         val address = InetSocketAddress(endpoint.host, endpoint.port)
         exchange.endpointAddress = address
         // The endpoint may close an idle connection while a request is being sent on it. A request
@@ -346,6 +351,10 @@
         perform(dispatcher.answerStarted(exchange.request.id, now))
     }
 
+    override fun limitNamed(exchange: EntryExchange, perSecond: Double?) {
+        exchange.endpoint?.let { limitRecords.limitNamed(it, perSecond) }
+    }
+
     override fun attemptEnded(exchange: EntryExchange, end: AttemptEnd) {
         val address = exchange.endpointAddress
         if (end !is AttemptEnd.Broken || !end.crash || address == null) {
@@ -370,7 +379,7 @@
     private fun logFailedAttempt(exchange: EntryExchange, cause: String) = log(
         LogEvent.ENTRY_ATTEMPT_FAILED,
         "request" to exchange.request.id,
-        "endpoint" to exchange.endpoint,
+        "endpoint" to exchange.endpoint?.endpoint,
         "attempt" to exchange.attempts,
         "age" to millis(now() - exchange.request.arrival),
         "cause" to cause
@@ -453,7 +462,7 @@
             "outcome" to outcome,
             "status" to exchange.answeredStatus,
             "kind" to kind?.code,
-            "endpoint" to exchange.endpoint,
+            "endpoint" to exchange.endpoint?.endpoint,
             "attempts" to exchange.attempts,
             "first" to exchange.firstAnswerDelay?.let { millis(it) },
             "total" to millis(total),
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -28,6 +28,7 @@
 import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
 import org.hemlockpond.core.entry.EndpointDirectory
+import org.hemlockpond.core.entry.EndpointLimits
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryDispatcher
 import org.hemlockpond.core.entry.ListedEndpoint
@@ -63,7 +64,8 @@
         RouterId("${settings.host}/${UUID.randomUUID().toString().take(RUN_ID_LENGTH)}")
     private val metrics = RouterMetrics()
     private val directory = EndpointDirectory()
-    private val dispatcher = EntryDispatcher(settings.domain, settings.entry)
+    private val limits = EndpointLimits(settings.entry.limits)
+    private val dispatcher = EntryDispatcher(settings.domain, settings.entry, limits = limits)
     private val pool = EndpointConnectionPool(
         loop,
         dialect,
@@ -81,6 +83,8 @@
         BudgetEvents()
     )
     private val crashRecords = CrashRecords(id, store, settings, scope, clock, CrashEvents())
+    private val limitRecords = LimitRecords(id, store, settings, scope, clock, limits)
+    private val sharedRecords = SharedRecords(crashRecords, limitRecords)
     private val requests: EntryRequests =
         EntryRequests(
             settings,
@@ -91,10 +95,11 @@
             clock,
             metrics,
             loop,
-            crashRecords
+            crashRecords,
+            limitRecords
         )
     private val fleetWatcher =
-        FleetWatcher(store, format, settings, scope, crashRecords, FleetEvents())
+        FleetWatcher(store, format, settings, scope, sharedRecords, FleetEvents())
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
@@ -209,7 +214,7 @@
             clock.now().elapsed - storeAnsweredAt > settings.storeSilenceLimit
 
     private val isReady: Boolean
-        get() = config != null && endpointListRead && crashRecords.isRead && !stopping &&
+        get() = config != null && endpointListRead && sharedRecords.isRead && !stopping &&
             !isCutOffFromStore
 
     private fun readiness(): StatusPage =
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -39,6 +39,8 @@
  * @property idleConnectionTimeout how long an idle connection to an endpoint is kept, unless the
  *   endpoint states its own timeout
  * @property idleTimeoutMargin how long before the endpoint's own timeout an idle connection expires
+ * @property claimInterval the interval at which this host's claims of endpoint limits are brought up to
+ *   date, while there are any
  * @property tickInterval the interval of the timer for decisions that depend only on time
  */
 data class EntryRouterSettings(
@@ -61,6 +63,7 @@
     val maxEventBytes: Int = 64 * 1024,
     val idleConnectionTimeout: Duration = 4.seconds,
     val idleTimeoutMargin: Duration = 400.milliseconds,
+    val claimInterval: Duration = 200.milliseconds,
     val tickInterval: Duration = 25.milliseconds,
     val entry: EntrySettings = EntrySettings(),
     val budget: BudgetSettings = entryBudgetSettings
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -1,5 +1,5 @@
 /*
- * Watches the configuration, the endpoint list and the crash records in the store. Each is read
+ * Watches the configuration, the endpoint list and the hosts' shared records in the store. Each is read
  * once and then watched; when a watch ends for any reason, the data is read again.
  *
  * A watch delivers every version of a key. A configuration can have hundreds of kilobytes, so a host
@@ -54,7 +54,7 @@
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
     private val scope: CoroutineScope,
-    private val crashRecords: CrashRecords,
+    private val sharedRecords: SharedRecords,
     private val listener: FleetListener
 ) {
     private val loggedInvalidKeys = HashSet<String>()
@@ -77,7 +77,9 @@
                 pause = settings.endpointWatchPause
             )
         }
-        scope.launch { readAndWatch(CrashRecords.PREFIX, ::crashesRead, ::crashesChanged) }
+        scope.launch {
+            readAndWatch(SharedRecords.PREFIX, ::sharedRecordsRead, ::sharedRecordsChanged)
+        }
     }
 
     /**
@@ -234,13 +236,13 @@
             }
         }
 
-    private fun crashesRead(read: ReadResult.Values): Boolean {
-        crashRecords.applyAll(read.values)
+    private fun sharedRecordsRead(read: ReadResult.Values): Boolean {
+        sharedRecords.applyAll(read.values)
         return false
     }
 
-    private fun crashesChanged(changes: List<StoreChange>): Boolean {
-        crashRecords.apply(changes)
+    private fun sharedRecordsChanged(changes: List<StoreChange>): Boolean {
+        sharedRecords.apply(changes)
         return false
     }
 
