Don't state that a request didn't run while its endpoint's crash is checked

A request whose connection the endpoint ended is held until it is known whether the endpoint crashed, up to the connect timeout of 300 ms. Its deadline in that time answered 503, which states that it hasn't run; it may have. The answer at the deadline now depends on whether any attempt may have run. EntryRouterTest.requestWhoseAnswerIsLostIsNotRefusedAtItsDeadline: 503 before, 504 now.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -387,13 +387,13 @@
 
     private fun deadlineReached(exchange: EntryExchange) {
         if (exchange.finished) return
-        val kind =
-            if (exchange.isAttemptRunning) ErrorKind.ENDPOINT_TIMEOUT else ErrorKind.OVERLOADED
-        val sent = exchange.isAttemptRunning
-        endExchange(exchange, if (sent) "timeout" else "refused", kind) {
+        // An attempt that broke off may have run, even if it isn't known yet whether its endpoint crashed.
+        val ran = exchange.isAttemptRunning || exchange.mayHaveRun
+        val kind = if (ran) ErrorKind.ENDPOINT_TIMEOUT else ErrorKind.OVERLOADED
+        endExchange(exchange, if (ran) "timeout" else "refused", kind) {
             exchange.refuse(
                 kind,
-                if (sent) null else tokenRetryAfter.delay(budgets.isStoreReachable)
+                if (ran) null else tokenRetryAfter.delay(budgets.isStoreReachable)
             )
         }
     }
