Keep the claims of an endpoint that is unlisted for a moment

An endpoint that left the list and came back with the same process, as after an outage of the store, counted as free of its limit until the next claim: the claims were forgotten with it. They are kept now while there are any.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLimits.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLimits.kt
@@ -48,8 +48,9 @@
     internal fun of(process: EndpointProcess): EndpointLimit =
         limits.getOrPut(process) { EndpointLimit(settings, random) { claimsEndAt } }
 
+    /** Forgets an endpoint that is no longer listed, unless hosts claim shares in its limit. */
     internal fun remove(process: EndpointProcess) {
-        limits -= process
+        if (limits[process]?.isFree == true) limits -= process
     }
 
     /**
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointLimitsTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointLimitsTest.kt
@@ -133,4 +133,13 @@
         fleet.play(8.seconds)
         assertEquals(7, fleet.hosts.count { it.of(process).isFree })
     }
+
+    /** Guards against exceeding the limit of an endpoint that was unlisted for a moment. */
+    @Test
+    fun claimsOutliveTheListingOfAnEndpoint() {
+        val limits = EndpointLimits(random = Random(1))
+        limits.claimsChanged(process, LimitClaims(1, null), 10.seconds)
+        limits.remove(process)
+        assertFalse(limits.of(process).mayReceive(0, 11.seconds))
+    }
 }
