--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -94,9 +94,7 @@
                     service(change.endpoint.service).loads[change.endpoint.id]
                         ?.let { it.endpoint = change.endpoint } ?: add(change.endpoint)
 
-                is DirectoryChange.Removed -> services.values.forEach { service ->
-                    service.loads.remove(change.id)?.let { limits.remove(it.endpoint.process) }
-                }
+                is DirectoryChange.Removed -> remove(change.id)
             }
         }
         if (changes.isNotEmpty()) listedOnce = true
@@ -115,6 +113,13 @@
             )
     }
 
+    private fun remove(id: EndpointId) {
+        for (service in services.values) {
+            val load = service.loads.remove(id) ?: continue
+            limits.remove(load.endpoint.process)
+        }
+    }
+
     private fun service(id: ServiceId): ServiceState = services.getOrPut(id) {
         ServiceState(settings)
     }
