--- a/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
@@ -1,9 +1,8 @@
 /*
- * Finds out what crashes the endpoints of one service: the content of a request that callers repeat,
- * or a prompt part that many different requests share. Everything that the requests without an answer
- * had in common with the crashed endpoint is suspect. A suspect is cleared as soon as an endpoint
- * begins to answer a request with it, so the caller and the other parts of such requests are cleared
- * by sound requests within moments.
+ * Finds out what crashes the endpoints of one service: the content of a request that its caller
+ * repeats, or a prompt part that many different requests share. A crash accuses the content and the
+ * parts of the requests that the endpoint hadn't answered. A suspect is cleared as soon as an endpoint
+ * begins to answer a request with it, so sound requests clear the parts that they share with bad ones.
  *
  * Callers may use any host, so the hosts share crashes and clearances through the store.
  */
