--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -61,7 +61,6 @@
     private val services = HashMap<ServiceId, ServiceState>()
     private val open = HashMap<RequestId, OpenRequest>()
     private var serviceConfigs: Map<ServiceId, EntryService> = emptyMap()
-    private var listedOnce = false
 
     /** The number of requests that haven't ended. */
     val openRequests: Int get() = open.size
@@ -97,7 +96,6 @@
                 is DirectoryChange.Removed -> remove(change.id)
             }
         }
-        if (changes.isNotEmpty()) listedOnce = true
         return buildList { services.values.forEach { sendWaiting(it, now) } }
     }
 
