Rename the page for operators, whose name differed from another by case only

docs/operations.md and docs/OPERATIONS.md are one file on a case-insensitive file system. The users ask for the latter by name, so the page for the product's own deployments is docs/administration.md now. SettingsReferenceTest passes.

--- a/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/store/StoreWorker.kt
@@ -264,7 +264,7 @@
 
         private val RETRY = 1.seconds
 
-        /** A retry after this time may run the call again; docs/operations.md says so. */
+        /** A retry after this time may run the call again; docs/administration.md says so. */
         private val RUN_LEASE = 8.days
 
         /** One lease serves the records of a day, so each record lasts 7 days at least. */
--- a/settings/src/test/kotlin/org/hemlockpond/settings/SettingsReferenceTest.kt
+++ b/settings/src/test/kotlin/org/hemlockpond/settings/SettingsReferenceTest.kt
@@ -8,9 +8,9 @@
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 
-/** Compares the tables of docs/operations.md with the reader. */
+/** Compares the tables of docs/administration.md with the reader. */
 class SettingsReferenceTest {
-    private val page = Files.readString(Path.of("../docs/operations.md"))
+    private val page = Files.readString(Path.of("../docs/administration.md"))
 
     private val required = """"router": "r", "domain": "a", "advertise": "h:1",
         "platform": {"stores": ["h:2"]}, "peerSecretFile": "s", "operatorTokenFile": "t""""
