Order crashes and answers as the host that saw them did

Cause: crashes without an answer between them count once, and each host counted the answers in the order in which it read the records. A crash is written after 10 ms and an answer after 100 ms, so the records of two crashes may precede that of the answer between them. The class of fault: each host counted alone what should hold for the fleet.

Change: a report names the crashes after which an answer had begun before this one, and a host separates the crashes accordingly.

CrashSuspectsTest covers the order, and that crashes at one moment still count once.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/CrashSuspects.kt
@@ -34,13 +34,16 @@
 }
 
 /**
- * What one host knows about a crash: the suspects of the requests that it had sent to the [crashed]
- * process.
+ * What one host knows about a crash.
+ *
+ * @property suspects the suspects of the requests that the host had sent to the [crashed] process
+ * @property earlier crashes after which an answer had begun before this one
  */
 data class CrashReport(
     val service: ServiceId,
     val crashed: EndpointProcess,
-    val suspects: Map<Suspect, CrashEvidence>
+    val suspects: Map<Suspect, CrashEvidence>,
+    val earlier: Set<EndpointProcess> = emptySet()
 )
 
 /**
@@ -64,14 +67,34 @@
     private val accusations = LinkedHashMap<Suspect, LinkedHashMap<EndpointProcess, Accusation>>()
     private var answers = 0L
 
-    /** Adds what this host or another one knows about a crash. */
-    fun addCrash(crashed: EndpointProcess, suspects: Map<Suspect, CrashEvidence>, now: Duration) {
-        for ((suspect, evidence) in suspects) {
+    /** The number of answers that had begun before each crash. */
+    private val answersBefore = LinkedHashMap<EndpointProcess, Long>()
+
+    /**
+     * Adds what this host or another one knows about a crash. A host may learn of a crash before it
+     * learns of an earlier answer, so the order of crashes and answers comes from the report.
+     */
+    fun addCrash(report: CrashReport, now: Duration) {
+        val crashed = report.crashed
+        if (crashed !in answersBefore &&
+            report.earlier.any { answersBefore[it] == answers }
+        ) {
+            answers++
+        }
+        val before = answersBefore.getOrPut(crashed) { answers }
+        for ((suspect, evidence) in report.suspects) {
             val crashes = accusations.getOrPut(suspect) { LinkedHashMap(2) }
-            val known = crashes.getOrPut(crashed) { Accusation(now, answers, evidence) }
+            val known = crashes.getOrPut(crashed) { Accusation(now, before, evidence) }
             if (evidence > known.evidence) known.evidence = evidence
         }
         while (accusations.size > MAX_SUSPECTS) accusations.remove(accusations.keys.first())
+        while (answersBefore.size > MAX_CRASHES) answersBefore.remove(answersBefore.keys.first())
+    }
+
+    /** Returns the latest crashes after which an answer had begun before that of [crashed]. */
+    fun earlierCrashes(crashed: EndpointProcess): Set<EndpointProcess> {
+        val end = answersBefore[crashed] ?: answers
+        return answersBefore.filterValues { it < end }.keys.toList().takeLast(MAX_EARLIER).toSet()
     }
 
     /**
@@ -115,5 +138,9 @@
     private companion object {
         /** Bounds memory; far above the number of crashes within the retention. */
         const val MAX_SUSPECTS = 10_000
+        const val MAX_CRASHES = 1_000
+
+        /** Bounds the size of a report; more than the endpoints that crash between two answers. */
+        const val MAX_EARLIER = 16
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryAction.kt
@@ -65,12 +65,9 @@
     /** Cancel the attempt at a silent endpoint, so that the request can go to another one. */
     data class CancelAttempt(override val request: EntryRequest) : EntryAction
 
-    /** Tell the other hosts that the endpoint process [crashed] while it had the request. */
-    data class ReportCrash(
-        override val request: EntryRequest,
-        val crashed: EndpointProcess,
-        val evidence: CrashEvidence
-    ) : EntryAction
+    /** Tell the other hosts that an endpoint process crashed while it had the request. */
+    data class ReportCrash(override val request: EntryRequest, val report: CrashReport) :
+        EntryAction
 
     /** Tell the other hosts that an endpoint began to answer a request with [cleared] suspects. */
     data class ReportCleared(override val request: EntryRequest, val cleared: List<Suspect>) :
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -297,9 +297,14 @@
         if (end.crash) {
             val evidence =
                 if (end.answering) CrashEvidence.ANSWERING else CrashEvidence.UNANSWERED
-            val suspects = request.suspects.associateWith { evidence }
-            service.suspects.addCrash(endpoint.process, suspects, now)
-            add(EntryAction.ReportCrash(request, endpoint.process, evidence))
+            val report = CrashReport(
+                request.service,
+                endpoint.process,
+                request.suspects.associateWith { evidence },
+                service.suspects.earlierCrashes(endpoint.process)
+            )
+            service.suspects.addCrash(report, now)
+            add(EntryAction.ReportCrash(request, report))
             withdrawRefused(service, now)
         }
         val allowed = isRetryable && request.route.retrySafety != RetrySafety.UNSAFE
@@ -418,7 +423,7 @@
     /** Adds what another host knows about a crash. */
     fun crashReported(report: CrashReport, now: Duration): List<EntryAction> = buildList {
         val service = service(report.service)
-        service.suspects.addCrash(report.crashed, report.suspects, now)
+        service.suspects.addCrash(report, now)
         withdrawRefused(service, now)
         sendWaiting(service, now)
     }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/CrashSuspectsTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/CrashSuspectsTest.kt
@@ -90,6 +90,46 @@
         assertIs<EntryAction.Deliver>(bed.lastAction(answer("good")))
     }
 
+    /** Guards against a host that learns of an answer only after the crashes on both sides of it. */
+    @Test
+    fun crashesCountAsTheirReportOrdersThemWithAnswers() {
+        addEndpoints(3)
+        val bad = Suspect.Part("bad")
+        bed.crashReported("e7", bad, evidence = CrashEvidence.ANSWERING)
+        bed.crashReported("e8", bad, evidence = CrashEvidence.ANSWERING, earlier = listOf("e7"))
+        bed.dispatcher.suspectsCleared(bed.service, listOf(Suspect.Part("system")))
+        assertEquals(ErrorKind.SUSPECT_NOT_RUN, refusal(submit("bad")))
+    }
+
+    /** Guards against counting crashes at one moment separately when hosts report one each. */
+    @Test
+    fun crashesThatHostsReportAfterTheSameEarlierOneCountOnce() {
+        addEndpoints(3)
+        val any = Suspect.Part("any")
+        bed.crashReported("e6", Suspect.Part("other"))
+        listOf("e7", "e8", "e9").forEach {
+            bed.crashReported(it, any, earlier = listOf("e6"))
+        }
+        assertNull(refusal(submit("any")))
+    }
+
+    @Test
+    fun reportNamesTheCrashesBeforeTheLastAnswer() {
+        addEndpoints(5)
+        val first = crash("bad")
+        answer("good")
+        val second = crash("bad")
+        val third = crash("bad")
+        val names = bed.actions.filterIsInstance<EntryAction.ReportCrash>().associate { action ->
+            action.request to action.report.earlier.map { it.endpoint.value }
+        }
+        val firstEndpoint = bed.sentTo(first)
+        assertEquals(
+            mapOf(first to emptyList(), second to firstEndpoint, third to firstEndpoint),
+            names
+        )
+    }
+
     /** Guards against counting the reports of several hosts about one crash several times. */
     @Test
     fun reportsAboutOneCrashCountOnce() {
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/DispatcherTestBed.kt
@@ -114,13 +114,20 @@
     fun crashReported(
         endpoint: String,
         vararg suspects: Suspect,
-        evidence: CrashEvidence = CrashEvidence.UNANSWERED
+        evidence: CrashEvidence = CrashEvidence.UNANSWERED,
+        earlier: List<String> = emptyList()
     ) {
-        val crash = EndpointProcess(EndpointId(endpoint), startedMillis = 1)
-        val report = CrashReport(service, crash, suspects.associateWith { evidence })
+        val report = CrashReport(
+            service,
+            process(endpoint),
+            suspects.associateWith { evidence },
+            earlier.mapTo(HashSet()) { process(it) }
+        )
         record(dispatcher.crashReported(report, now))
     }
 
+    private fun process(endpoint: String) = EndpointProcess(EndpointId(endpoint), startedMillis = 1)
+
     fun advance(by: Duration) {
         val end = now + by
         while (now < end) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
@@ -31,6 +31,16 @@
 import org.hemlockpond.store.StoreChange
 import org.hemlockpond.store.WriteResult
 
+/** A process of an endpoint, with its start in Unix milliseconds. */
+@Serializable
+internal data class StoredProcess(val endpoint: EndpointId, val started: Long) {
+    fun toProcess() = EndpointProcess(endpoint, started)
+
+    companion object {
+        fun of(process: EndpointProcess) = StoredProcess(process.endpoint, process.startedMillis)
+    }
+}
+
 /** Suspects by kind. */
 @Serializable
 internal data class StoredSuspects(
@@ -53,6 +63,7 @@
  *
  * @property endpoint the endpoint that crashed; null if the suspects are [cleared]
  * @property started the start of the crashed process in Unix milliseconds
+ * @property earlier crashes after which an answer had begun before this one
  */
 @Serializable
 internal data class StoredCrashRecord(
@@ -61,14 +72,16 @@
     val started: Long = 0,
     val answering: StoredSuspects = StoredSuspects(),
     val unanswered: StoredSuspects = StoredSuspects(),
-    val cleared: StoredSuspects = StoredSuspects()
+    val cleared: StoredSuspects = StoredSuspects(),
+    val earlier: Set<StoredProcess> = emptySet()
 ) {
     fun toReport(): CrashReport? = endpoint?.let { id ->
         CrashReport(
             service,
             EndpointProcess(id, started),
             unanswered.toSuspects().associateWith { CrashEvidence.UNANSWERED } +
-                answering.toSuspects().associateWith { CrashEvidence.ANSWERING }
+                answering.toSuspects().associateWith { CrashEvidence.ANSWERING },
+            earlier.mapTo(LinkedHashSet()) { it.toProcess() }
         )
     }
 }
@@ -99,28 +112,27 @@
     private var leaseGrantedAt = -Duration.INFINITE
 
     /** Writes a crash after a short delay, together with the suspects of this host's other requests. */
-    override fun reportCrash(
-        service: ServiceId,
-        crashed: EndpointProcess,
-        suspects: Map<Suspect, CrashEvidence>
-    ) {
-        val of = CrashOf(service, crashed)
+    override fun reportCrash(report: CrashReport) {
+        val of = CrashOf(report.service, report.crashed)
         val known = pendingCrashes[of]
         if (known != null) {
-            suspects.forEach { (suspect, evidence) -> known.merge(suspect, evidence, ::maxOf) }
+            report.suspects.forEach { (suspect, evidence) ->
+                known.merge(suspect, evidence, ::maxOf)
+            }
             return
         }
-        pendingCrashes[of] = HashMap(suspects)
+        pendingCrashes[of] = HashMap(report.suspects)
         scope.launch {
             delay(CRASH_DELAY)
             val all = pendingCrashes.remove(of).orEmpty()
             write(
                 StoredCrashRecord(
-                    service,
-                    crashed.endpoint,
-                    crashed.startedMillis,
+                    report.service,
+                    report.crashed.endpoint,
+                    report.crashed.startedMillis,
                     StoredSuspects.of(all.filterValues { it == CrashEvidence.ANSWERING }.keys),
-                    StoredSuspects.of(all.filterValues { it == CrashEvidence.UNANSWERED }.keys)
+                    StoredSuspects.of(all.filterValues { it == CrashEvidence.UNANSWERED }.keys),
+                    earlier = report.earlier.mapTo(LinkedHashSet()) { StoredProcess.of(it) }
                 )
             )
         }
@@ -157,7 +169,8 @@
                     "endpoint" to record.endpoint,
                     "answering" to record.answering.toSuspects(),
                     "unanswered" to record.unanswered.toSuspects(),
-                    "cleared" to record.cleared.toSuspects()
+                    "cleared" to record.cleared.toSuspects(),
+                    "earlier" to record.earlier.map { it.endpoint }
                 )
                 return
             }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -23,10 +23,8 @@
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.entry.AttemptEnd
-import org.hemlockpond.core.entry.CrashEvidence
 import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
-import org.hemlockpond.core.entry.EndpointProcess
 import org.hemlockpond.core.entry.EntryAction
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryCustomer
@@ -45,11 +43,7 @@
 
 /** Tells the other hosts what this one knows about crashes of endpoints. */
 internal interface CrashReporter {
-    fun reportCrash(
-        service: ServiceId,
-        crashed: EndpointProcess,
-        suspects: Map<Suspect, CrashEvidence>
-    )
+    fun reportCrash(report: CrashReport)
 
     fun reportCleared(service: ServiceId, suspects: Collection<Suspect>)
 }
@@ -243,11 +237,7 @@
                     attemptEnded(exchange, AttemptEnd.Broken("endpoint silent", crash = false))
                 }
 
-                is EntryAction.ReportCrash -> crashReporter.reportCrash(
-                    action.request.service,
-                    action.crashed,
-                    action.request.suspects.associateWith { action.evidence }
-                )
+                is EntryAction.ReportCrash -> crashReporter.reportCrash(action.report)
 
                 is EntryAction.ReportCleared ->
                     crashReporter.reportCleared(action.request.service, action.cleared)
