Bound what a host used before a power loss by a ceiling in its mark

Cause: a mark bounds the use of an ended run by the time since the mark. After a power loss no clock shows that time, so the whole slice counted as used.

Change: a mark has a ceiling, which the host doesn't pass until another mark is stored, whatever the time. It covers 12 s of demand, and 0.8 of the free tokens at least, for callers that move during an outage. A run whose end is unknown has used the ceiling at most.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -32,7 +32,7 @@
     private val sliceWriter = SliceWriter(self, domain, settings, sizing)
     private val coverage = Coverage(self, settings)
     private val deadRouters = DeadRouters(settings)
-    private val spendMarks = settings.spendMarks?.let { SpendMarks(it) }
+    private val spendMarks = settings.spendMarks?.let { SpendMarks(it, sizing::demandOver) }
     private val lending = Lending(domain, settings, sizing) { to, message ->
         actions += BudgetAction.SendToPeer(to, message)
     }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SpendMarks.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SpendMarks.kt
@@ -12,17 +12,26 @@
  * @property interval time between two marks while the store answers
  * @property initialShare share of a slice's free tokens that a mark allows immediately
  * @property sharePerSecond share of these tokens that each further second allows
- * @property ttl how long a mark is valid; longer than [interval] plus the time that the next run
- *   needs to start, as it has to read a valid mark
+ * @property ttl how long the pace of a mark is valid; longer than [interval] plus the time that the
+ *   next run needs to start, as it has to read a valid mark
+ * @property outageSpan the span of demand that the ceiling of a mark covers, for store outages
+ * @property outageShare the least share of a slice's free tokens that the ceiling covers, for callers
+ *   that move to this host during an outage
  */
 data class SpendMarkSettings(
     val interval: Duration,
     val initialShare: Double,
     val sharePerSecond: Double,
-    val ttl: Duration
+    val ttl: Duration,
+    val outageSpan: Duration,
+    val outageShare: Double
 )
 
-internal class SpendMarks(private val settings: SpendMarkSettings) {
+/** @param demandOver returns an account's expected demand over a span, in tokens */
+internal class SpendMarks(
+    private val settings: SpendMarkSettings,
+    private val demandOver: (Account, Duration, Duration) -> Long
+) {
     private class SentMark(val sequence: Long, val at: Duration, val mark: SpendMark)
 
     /** The last mark that is known to be stored and later marks that the store may hold. */
@@ -49,7 +58,7 @@
     /** Creates the next mark for [accounts]; null if none of them has a slice. */
     fun createNext(accounts: Collection<Account>, now: Duration): BudgetAction.WriteMark? {
         val use = accounts.filter { it.confirmedSlice != null && !it.isReturned }
-            .associate { it.customer to use(it) }
+            .associate { it.customer to use(it, now) }
         if (use.isEmpty()) return null
         val mark = SpendMark(use, settings.ttl.inWholeMilliseconds)
         writePending = true
@@ -59,13 +68,21 @@
         return BudgetAction.WriteMark(mark, now, sequence)
     }
 
-    private fun use(account: Account): MarkedUse {
+    private fun use(account: Account, now: Duration): MarkedUse {
         val free = maxOf(0, account.free)
-        val waiting = account.waiting.sumOf { it.tokens }
+        val current = account.used + account.reserved + account.waiting.sumOf { it.tokens }
+        val initial = (free * settings.initialShare).toLong()
+        val outageUse = minOf(
+            free,
+            maxOf(
+                demandOver(account, settings.outageSpan, now),
+                (free * settings.outageShare).toLong()
+            )
+        )
         return MarkedUse(
-            used =
-                account.used + account.reserved + waiting + (free * settings.initialShare).toLong(),
-            pace = (free * settings.sharePerSecond).toLong()
+            used = current + initial,
+            pace = (free * settings.sharePerSecond).toLong(),
+            ceiling = current + maxOf(initial, outageUse)
         )
     }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -6,7 +6,7 @@
  * Large requests need tokens that aren't granted to any host, so a part of the budget stays in the
  * store, and this part grows as the budget runs out. After a kill, a host recovers the tokens that
  * its last spend mark shows as unspent, which are fewer the longer the store was unreachable
- * before. After a power loss it recovers nothing.
+ * before. After a power loss it recovers what the mark's ceiling leaves.
  */
 package org.hemlockpond.core.entry
 
@@ -39,7 +39,9 @@
         interval = 1.seconds,
         initialShare = 0.15,
         sharePerSecond = 0.08,
-        ttl = 4.seconds
+        ttl = 4.seconds,
+        outageSpan = 12.seconds,
+        outageShare = 0.8
     ),
     closeWithoutCopyDelay = Duration.ZERO
 )
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
@@ -82,16 +82,20 @@
 
     /** Bounds the use of earlier runs, which have ended by now; the bounds don't grow any more. */
     private fun boundEndedRuns(marks: StoredMarks): Map<RouterId, RunMark> {
-        if (marks.address != address || marks.boot != machine.bootId) return emptyMap()
+        if (marks.address != address) return emptyMap()
         val steady = machine.steadyMillis()
         val wall = machine.wallMillis()
-        return marks.runs.entries.toList().takeLast(MAX_RUNS).mapNotNull { (run, mark) ->
-            // The monotonic clock is behind the mark, so the machine was restarted.
-            if (steady < mark.at) return@mapNotNull null
-            val elapsed = maxOf(steady - mark.at, wall - mark.wall).milliseconds
+        return marks.runs.entries.toList().takeLast(MAX_RUNS).associate { (run, mark) ->
+            // A monotonic clock that is behind the mark shows a restart of the machine, too.
+            val isComparable = marks.boot == machine.bootId && steady >= mark.at
+            val elapsed = if (isComparable) {
+                maxOf(steady - mark.at, wall - mark.wall).milliseconds
+            } else {
+                Duration.INFINITE
+            }
             log(LogEvent.RUN_ENDED, "router" to run, "mark age" to elapsed)
             run to RunMark(steady, wall, mark.mark.ended(elapsed))
-        }.toMap()
+        }
     }
 
     /** Stores [mark], which was made at [at] of the router's clock. */
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/HostMarksTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/HostMarksTest.kt
@@ -94,6 +94,31 @@
         assertNull(usedByFirstRun())
     }
 
+    /** Guards against counting a whole slice as spent when no clock shows the age of a mark. */
+    @Test
+    fun ceilingBoundsTheUseOfARunWhoseEndIsUnknown() = runBlocking {
+        val marks = marks("a")
+        assertTrue(marks.read())
+        val limited = MarkedUse(used = 1_000, pace = 100, ceiling = 1_600)
+        marks.write(SpendMark(mapOf(customer to limited), 5_000), machine.steady.milliseconds)
+        machine.bootId = "boot-2"
+        machine.steady = 10
+        assertEquals(1_600, usedByFirstRun())
+    }
+
+    /** Guards against a bound above the ceiling while the pace of a mark counts. */
+    @Test
+    fun paceEndsAtTheCeiling() = runBlocking {
+        val marks = marks("a")
+        assertTrue(marks.read())
+        val limited = MarkedUse(used = 1_000, pace = 100, ceiling = 1_150)
+        marks.write(SpendMark(mapOf(customer to limited), 5_000), machine.steady.milliseconds)
+        machine.advance(2_000)
+        assertEquals(1_150, usedByFirstRun())
+        machine.advance(5_000)
+        assertEquals(1_150, usedByFirstRun())
+    }
+
     /**
      * Guards against using the marks of a machine of the same name at another address: its router
      * may still be running.
