Grant little of a budget to hosts that start together, and spread their reports

Cause: each host acted as if it were alone. The first hosts took the whole budget, since the record didn't show yet which others were about to start; tokens came back with the next report, after 25 s with 25 hosts in a domain. All hosts reported at the same whole seconds of their clocks, so that their writes of one record conflicted again and again.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -90,6 +90,9 @@
      */
     var lastReportAt: Duration = -Duration.INFINITE
     var timerDueAt: Duration? = null
+
+    /** When the account was created, or the store last became reachable again. */
+    var settlingSince: Duration = createdAt
     private var sequence = 0L
 
     /** Tokens that leave the budget through this slice. */
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -176,7 +176,9 @@
     }
 
     private fun onStoreReachable(reachable: Boolean) {
+        val hasReturned = reachable && !storeReachable
         storeReachable = reachable
+        if (hasReturned) accounts.values.forEach { it.settlingSince = time }
         if (reachable) accounts.values.forEach { process(it) }
     }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetSettings.kt
@@ -21,10 +21,14 @@
  * @property refillThresholdSpan a refill starts when the free tokens cover less than this span of
  *   demand
  * @property reportInterval mean time between two periodic reports of one failure domain
+ * @property maxReportInterval longest time between two periodic reports of a slice
  * @property idleReportInterval time between two reports of a slice that holds unreserved tokens and
  *   whose use hasn't changed
  * @property reportAlignment reports are due at multiples of this duration, which lets one store
  *   call carry the reports of all customers; zero turns alignment off
+ * @property reportSpread the difference between the report intervals of routers, and between the times
+ *   to which their reports are aligned, as a share (0..1) of each; reports of one record at the same
+ *   time conflict
  * @property advanceShare share (0..1) of the remaining tokens that is granted ahead of use
  * @property advanceTaperExponent the share granted ahead is multiplied by the remaining fraction of
  *   the budget raised to this power. Other tokens can replace a lost slice only while many remain.
@@ -33,6 +37,11 @@
  *   so each host needs tokens in advance.
  * @property minHolders lower bound on the number of holders among which tokens are split; some
  *   holders may not have a slice yet
+ * @property settleTime how long, after the start of a holder or the return of the store, the record may
+ *   lack what other holders hold and have used. Idle holders adjust their slices after about twice this
+ *   time.
+ * @property joinShare the share (0..1) of the tokens which all holders are granted ahead of use that one
+ *   holder is granted ahead within [settleTime] of its start
  * @property demandTimeConstant time constant of the demand average
  * @property minDemandWindow shortest time over which demand is averaged
  * @property endHorizon when the remaining tokens cover less than this span of the demand of all
@@ -59,12 +68,16 @@
     val grantSpan: Duration = 1.minutes,
     val refillThresholdSpan: Duration = 5.seconds,
     val reportInterval: Duration = 10.seconds,
+    val maxReportInterval: Duration = Duration.INFINITE,
     val idleReportInterval: Duration = 1.minutes,
     val reportAlignment: Duration = Duration.ZERO,
+    val reportSpread: Double = 0.0,
     val advanceShare: Double = 0.95,
     val advanceTaperExponent: Double = 0.0,
     val evenShare: Double = 0.0,
     val minHolders: Int = 1,
+    val settleTime: Duration = Duration.ZERO,
+    val joinShare: Double = 1.0,
     val demandTimeConstant: Duration = 2.minutes,
     val minDemandWindow: Duration = 10.seconds,
     val endHorizon: Duration = 1.minutes,
@@ -81,5 +94,7 @@
         require(leaseMargin < routerLease) { "leaseMargin must be shorter than routerLease" }
         require(advanceShare in 0.0..1.0) { "advanceShare is $advanceShare, not within 0..1" }
         require(evenShare in 0.0..1.0) { "evenShare is $evenShare, not within 0..1" }
+        require(reportSpread in 0.0..1.0) { "reportSpread is $reportSpread, not within 0..1" }
+        require(joinShare in 0.0..1.0) { "joinShare is $joinShare, not within 0..1" }
     }
 }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceSizing.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceSizing.kt
@@ -54,17 +54,18 @@
 
     /** This holder's part of the tokens that are granted ahead of use. */
     private fun grantedAhead(account: Account, now: Duration): Double {
-        val remaining = account.remaining + account.reserved
-        val remainingShare = (
-            remaining.toDouble() / maxOf(
-                1,
-                account.record.paid
-            )
-            ).coerceIn(0.0, 1.0)
-        val all =
-            remaining * settings.advanceShare * remainingShare.pow(settings.advanceTaperExponent)
+        val all = (account.remaining + account.reserved) * settings.advanceShare *
+            remainingShare(account).pow(settings.advanceTaperExponent)
         val even = settings.evenShare / holderCount(account)
-        return all * (even + (1 - settings.evenShare) * demandShare(account, now))
+        val ahead = all * (even + (1 - settings.evenShare) * demandShare(account, now))
+        // The record doesn't show yet which other holders start at the same time.
+        val isJoining = now - account.createdAt < settings.settleTime
+        return if (isJoining) minOf(ahead, all * settings.joinShare) else ahead
+    }
+
+    private fun remainingShare(account: Account): Double {
+        val remaining = account.remaining + account.reserved
+        return (remaining.toDouble() / maxOf(1, account.record.paid)).coerceIn(0.0, 1.0)
     }
 
     private fun demandShare(account: Account, now: Duration): Double {
@@ -129,11 +130,22 @@
 
     /**
      * The time between periodic reports. It is proportional to the number of holders in the failure
-     * domain, so store writes grow with the number of domains rather than routers.
+     * domain, so store writes grow with the number of domains rather than routers, but limited, as
+     * other holders compute their slices from the reports.
      */
     fun reportInterval(account: Account): Duration {
         val holderCount = account.record.slices.values.count { it.domain == domain }
-        return settings.reportInterval * maxOf(1, holderCount)
+        return minOf(
+            settings.reportInterval * maxOf(1, holderCount),
+            settings.maxReportInterval
+        )
+    }
+
+    /** The time between two reports without use; shorter the more of the budget is used. */
+    fun idleReportInterval(account: Account): Duration = if (settings.hasNoPeers) {
+        settings.idleReportInterval * remainingShare(account)
+    } else {
+        settings.idleReportInterval
     }
 
     private fun othersWanted(account: Account): Long =
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -9,6 +9,7 @@
 import kotlin.time.Duration
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.routing.mix
 
 internal class RecordChange(val record: BudgetRecord, val removesSlice: Boolean)
 
@@ -18,6 +19,13 @@
     private val settings: BudgetSettings,
     private val sizing: SliceSizing
 ) {
+    /**
+     * A number from -0.5 to 0.5 that differs between routers and spreads the reports of those that
+     * started together.
+     */
+    private val offset =
+        (mix(self.value.hashCode().toLong()) ushr 1) / Long.MAX_VALUE.toDouble() - 0.5
+
     /** The record to write; [record] is the last one read, possibly with dead slices closed. */
     fun change(
         account: Account,
@@ -92,28 +100,35 @@
         val returnSoon = slice != null && sizing.isEnding(account, now) &&
             account.unused > 2 * sizing.target(account, now)
         val interval =
-            if (returnSoon) settings.answerTtl else sizing.reportInterval(account)
-        val idle = maxOf(interval, settings.idleReportInterval)
-        val wait = when {
+            if (returnSoon) settings.answerTtl else spread(sizing.reportInterval(account))
+        val idle = maxOf(interval, spread(sizing.idleReportInterval(account)))
+        val settled = account.settlingSince + spread(settings.settleTime * 2)
+        val due = when {
             // A credit reaches the record only through a slice.
-            slice == null && account.spent < 0 -> interval
+            slice == null && account.spent < 0 -> account.lastReportAt + interval
 
             slice == null -> return null
 
-            slice.used != account.used -> interval
+            slice.used != account.used -> account.lastReportAt + interval
+
+            // An earlier report would rely on a record that lacks what other holders have used.
+            settings.settleTime > Duration.ZERO && account.lastReportAt < settled -> settled
 
-            account.unused > account.reserved -> idle
+            account.unused > account.reserved -> account.lastReportAt + idle
 
             else -> return null
         }
-        return maxOf(aligned(account.lastReportAt + wait), now)
+        return maxOf(aligned(due), now)
     }
 
-    /** Rounds [at] up to a multiple of [BudgetSettings.reportAlignment]. */
+    private fun spread(interval: Duration) = interval * (1 + settings.reportSpread * offset)
+
+    /** Rounds [at] up to the next of this router's times, [BudgetSettings.reportAlignment] apart. */
     private fun aligned(at: Duration): Duration {
         val grid = settings.reportAlignment
         if (grid == Duration.ZERO || at.isInfinite()) return at
-        return grid * ceil(at / grid)
+        val phase = settings.reportSpread * offset
+        return grid * (ceil(at / grid - phase) + phase)
     }
 
     private companion object {
