--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetFleetTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryBudgetFleetTest.kt
@@ -65,6 +65,28 @@
         }
     }
 
+    /**
+     * Guards against splitting a small budget into slices of which none covers a request of the usual
+     * size, while most tokens are unused.
+     */
+    @Test
+    fun smallBudgetIsUsedBeforeItIsRefused() {
+        for (seed in SEEDS) {
+            val sim = EntryBudgetSimulation(
+                paid = SMALL_PAID,
+                settings = entryBudgetSettings,
+                hosts = HOSTS,
+                seed = seed,
+                withShortPrompts = true
+            )
+            sim.traffic(SMALL_PER_SECOND, from = START_MILLIS, to = END_MILLIS)
+            sim.runTo(START_MILLIS + DAY_MILLIS)
+            val early = sim.usedAtRefusal.count { it < 0.9 * sim.paid }
+            val share = early.toDouble() / sim.arrived
+            assertTrue(share < MAX_REFUSED, "seed $seed: refused $share before 0.9 was used")
+        }
+    }
+
     private companion object {
         const val HOSTS = 74
         const val PER_SECOND = 15.0
@@ -72,6 +94,10 @@
         const val DAY_MILLIS = 41_000.0
         const val END_MILLIS = START_MILLIS + DAY_MILLIS + 22_000.0
         const val PAID = 6_500_000L
+
+        /** The same ratio of budget and traffic for a customer with a fortieth of the requests. */
+        const val SMALL_PAID = PAID / 40
+        const val SMALL_PER_SECOND = PER_SECOND / 40
         val SEEDS = 1..4
 
         /** The aim of issue 18 for refusals while the customer has tokens. */
