--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -103,7 +103,7 @@
                 delay(settings.storeRetryDelay)
                 continue
             }
-            isBehind = onRead(read) && isBehind
+            isBehind = handled(prefix) { onRead(read) } && isBehind
             if (isBehind) {
                 delay(settings.catchUpDelay)
                 continue
@@ -112,7 +112,7 @@
                 .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
                 .takeWhile { changes ->
                     listener.storeCallEnded(true, null)
-                    isBehind = onChanges(changes)
+                    isBehind = handled(prefix) { onChanges(changes) }
                     delay(pause)
                     !isBehind
                 }
@@ -120,6 +120,14 @@
         }
     }
 
+    /** An entry that causes an exception must not end the watch: the host would stop following it. */
+    private inline fun handled(prefix: String, handle: () -> Boolean): Boolean = try {
+        handle()
+    } catch (e: RuntimeException) {
+        log(LogEvent.CONTROL_FAILED, "prefix" to prefix, cause = e)
+        false
+    }
+
     private fun operatorKeysRead(read: ReadResult.Values): Boolean {
         val orders = read.values.filter { it.key.startsWith(format.rolloutPrefix) }
         orders.forEach { reportRollout(it.value, it.revision, it.key) }
@@ -195,7 +203,11 @@
     }
 
     private fun endpointsRead(read: ReadResult.Values): Boolean {
-        listener.endpointsListed(read.values.mapNotNull { decode(it.key, it.value, it.revision) })
+        val entries = read.values.associate {
+            endpointId(it.key) to decode(it.key, it.value, it.revision)
+        }
+        listener.endpointsListed(entries.values.filterNotNull())
+        entries.filterValues { it == null }.keys.forEach { listener.endpointInvalid(it) }
         return false
     }
 
