Stop only when all callers' connections are closed

Cause: a stopping router ended when it had no accepted request left. A request of which only a part had been read wasn't counted, and neither were the last bytes of an answer to a slow reader. A new connection was closed before its first request could arrive.

Change: the stop is complete when all connections of callers are closed, which follows the last byte of each answer. Connections without a request are closed after 100 ms; the listener is closed last, so that callers that were accepted before are answered.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -224,9 +224,11 @@
         channel.close()
     }
 
-    /** Closes the connection if it has no current request. */
-    fun closeIfIdle() {
-        if (!isAnswering && incoming == null) close()
+    /** Closes the connection if it has been without a request, or part of one, for [minIdle]. */
+    fun closeIfIdle(minIdle: Duration) {
+        val isIdle = !closing && !isAnswering && incoming == null &&
+            headers.headersStartedAt == null
+        if (isIdle && listener.now() - lastUsedAt >= minIdle) close()
     }
 
     private fun scheduleIdleCheck() {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -103,6 +103,7 @@
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
+    private lateinit var callerListener: Channel
     private val callerIdleTimeout = CallerIdleTimeout(DEFAULT_CALLER_TIMEOUT, IDLE_TIMEOUT_OVERLAP)
     private var config: EntryConfig? = null
     private var endpointListRead = false
@@ -124,12 +125,13 @@
         listeners += StatusServer(settings.metricsAddress, group, "/metrics") {
             StatusPage(OK, metrics.scrape())
         }.start()
-        listeners += listen(
+        callerListener = listen(
             settings.callerAddress,
             group,
             options = { callerOptions(CALLER_BUFFER_BYTES) },
             accept = ::accept
         )
+        listeners += callerListener
         registerGauges()
         loop.execute {
             budgets.start()
@@ -272,23 +274,29 @@
     /**
      * Continues the stop after the stop delay, when the platform sends no new callers any more.
      * Tokens that aren't reserved by an open request are returned immediately, because the store
-     * may have become unreachable by the time the last request ends.
+     * may have become unreachable by the time the last request ends. The router has stopped when all
+     * callers' connections are closed: only then have slow readers been sent their whole answers, and
+     * requests that were being read been answered.
      */
     private fun continueStop() {
-        connections.toList().forEach { it.closeIfIdle() }
+        connections.toList().forEach { it.closeIfIdle(STOP_IDLE_TIME) }
         if (!returningTokens) {
             returningTokens = true
             budgets.drain()
         }
-        if (requests.openCount > 0) {
-            loop.schedule({ continueStop() }, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS)
-        } else {
-            completeStopIfDone()
-        }
-    }
+        val isDone = tokensReturned && requests.openCount == 0 && connections.isEmpty()
+        when {
+            !isDone -> Unit
+
+            // Requests on connections that were accepted before are still answered.
+            callerListener.isOpen -> callerListener.close()
 
-    private fun completeStopIfDone() {
-        if (tokensReturned && requests.openCount == 0) stopped.countDown()
+            else -> {
+                stopped.countDown()
+                return
+            }
+        }
+        loop.schedule({ continueStop() }, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS)
     }
 
     private inner class BudgetEvents : BudgetListener {
@@ -304,7 +312,6 @@
 
         override fun drained() {
             tokensReturned = true
-            completeStopIfDone()
         }
     }
 
@@ -426,6 +433,9 @@
         val STOP_MARGIN = 300.milliseconds
         const val STOP_POLL_MILLIS = 20L
 
+        /** While stopping, a new connection has this time for its first bytes. */
+        val STOP_IDLE_TIME = 100.milliseconds
+
         /**
          * How long a replaced idle timeout stays in force; connections idle under it end by then.
          */
