Take an answer only for the request and the send that it names

Cause: an endpoint may write an earlier refusal once more on a kept connection. A request that was refused and sent again on the same connection took the copy for its answer: it was called not run, and sent a third time, while the endpoint ran it. An answer without a request id was taken for the current request on any connection.

Change: a connection carries a request only once, so a further attempt at the same endpoint uses another connection. An answer that names no request is taken only on a connection without an earlier answer; elsewhere the attempt may have run.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -110,6 +110,9 @@
         channel = context.channel()
     }
 
+    /** Whether an earlier request was sent on this connection. */
+    private var isUsed = false
+
     fun send(id: RequestId, request: FullHttpRequest, sink: AnswerSink) {
         exchange = Exchange(id, sink)
         requestWritten = false
@@ -201,6 +204,10 @@
         val headers = response.headers()
         current.lengthKnown = HttpUtil.isTransferEncodingChunked(response) ||
             headers.contains(HttpHeaderNames.CONTENT_LENGTH)
+        if (answer.requestId == null && isUsed) {
+            fail("answer without a request id, perhaps to an earlier request", false)
+            return
+        }
         if (!current.lengthKnown) reusable = false
         current.sink.head(response, answer)
     }
@@ -223,6 +230,7 @@
             requestWritten -> owner.connectionIdle(this, idleTimeout)
         }
     }
+        isUsed = true
 
     private fun fail(cause: String, connectionLost: Boolean) {
         reusable = false
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
@@ -37,12 +37,13 @@
         private set
 
     /**
-     * Passes [done] a connection to [address]: an idle one that was used within [maxIdle], or a new
-     * one. If the endpoint can't be reached, [done] gets null and the cause.
+     * Passes [done] a connection to [address]: an idle one that was used within [maxIdle] and that
+     * [mayUse] accepts, or a new one. If the endpoint can't be reached, [done] gets null and the cause.
      */
     fun acquire(
         address: InetSocketAddress,
         maxIdle: Duration,
+        mayUse: (EndpointConnection) -> Boolean,
         done: (EndpointConnection?, Throwable?) -> Unit
     ) {
         val now = clock.now().elapsed
@@ -52,7 +53,8 @@
             // All others have been idle for longer.
             if (last.connection.channel.isActive && now - last.idleSince > maxIdle) break
             kept.removeLast()
-            if (last.connection.channel.isActive && now < last.expiresAt) {
+            val isUsable = last.connection.channel.isActive && now < last.expiresAt
+            if (isUsable && mayUse(last.connection)) {
                 done(last.connection, null)
                 return
             }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -68,6 +68,9 @@
     private var splitter = EventSplitter()
     private var status = HttpResponseStatus.OK
     private var headers: HttpHeaders? = null
+
+    /** The connections on which the request was sent. */
+    private val usedConnections = ArrayList<EndpointConnection>(1)
     private var partialBody: CompositeByteBuf? = null
     private var bufferedAnswer: BufferedAnswer? = null
 
@@ -118,8 +121,16 @@
     fun attach(endpointConnection: EndpointConnection) {
         connection = endpointConnection
         headReceived = false
+    /**
+     * Whether the request may be sent on [endpointConnection]. An endpoint may write an earlier refusal
+     * of the same request once more, so a connection carries a request only once.
+     */
+    fun mayUse(endpointConnection: EndpointConnection): Boolean =
+        endpointConnection !in usedConnections
+
         answerBegan = false
         endpointConnection.setPaused(!caller.isWritable && headSent)
+        usedConnections += endpointConnection
     }
 
     override fun head(response: HttpResponse, answer: AnswerHead) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -271,7 +271,7 @@
         // that is unsafe to repeat can't be retried then.
         val unsafe = exchange.request.route.retrySafety == RetrySafety.UNSAFE
         val maxIdle = if (unsafe) MAX_IDLE_IF_UNSAFE else Duration.INFINITE
-        pool.acquire(address, maxIdle) { connection, cause ->
+        pool.acquire(address, maxIdle, exchange::mayUse) { connection, cause ->
             when {
                 exchange.finished || exchange.attempts != action.attempt ->
                     connection?.channel?.close()
