Follow what an endpoint says of itself in its answers

Cause: an endpoint may say in any answer that it leaves, or refuse with a time for which it wants no requests. Neither was read: a leaving endpoint got requests until its entry in the store changed, and one that had named two seconds got requests again after 100 ms.

Change: EndpointDirectory drops a process that says that it leaves and keeps it out whatever its entry says; a new process under its id is used. While all endpoints of a service pause for longer than a request may wait, it is refused at once with that time and a random addition.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
@@ -52,6 +52,9 @@
 
     /** Endpoints whose entries expired in an outage, with the end of their grace period. */
     private val missingUntil = HashMap<EndpointId, Duration>()
+
+    /** Processes that have said in an answer that they leave, the oldest first. */
+    private val leavingProcesses = LinkedHashSet<EndpointProcess>()
     private var inOutage = false
     private var graceUntil = -Duration.INFINITE
 
@@ -82,7 +85,7 @@
         missingUntil -= entry.id
         val known = usable[entry.id]
         return when {
-            entry.leaving -> drop(entry.id, "leaving")
+            entry.leaving || entry.process in leavingProcesses -> drop(entry.id, "leaving")
 
             known == entry -> emptyList()
 
@@ -115,6 +118,19 @@
         return drop(id, "unlisted")
     }
 
+    /**
+     * Drops an endpoint whose [process] has said in an answer that it leaves. Older or late entries of
+     * the same process don't bring it back; a new process under its id does.
+     */
+    fun processLeaves(process: EndpointProcess): List<DirectoryChange> {
+        leavingProcesses += process
+        if (leavingProcesses.size > MAX_LEAVING_PROCESSES) {
+            leavingProcesses -= leavingProcesses.first()
+        }
+        if (usable[process.endpoint]?.process != process) return emptyList()
+        return drop(process.endpoint, "said that it leaves")
+    }
+
     /** Drops an endpoint whose entry can't be decoded, whatever the entry held before. */
     fun removeUnreadable(id: EndpointId): List<DirectoryChange> = drop(id, "unreadable entry")
 
@@ -132,6 +148,9 @@
     }
 
     companion object {
+        /** Limits the memory for processes that left; entries outlive their process by seconds. */
+        private const val MAX_LEAVING_PROCESSES = 10_000
+
         /** The platform's documentation states about two seconds until entries are renewed. */
         val RENEWAL_GRACE_PERIOD = 2_200.milliseconds
     }
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLimits.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLimits.kt
@@ -4,6 +4,8 @@
  * limit claims a share in the store. The earliest claims share the limit; there are at most as many
  * shares as requests a second, since each host may be one request ahead. Hosts without a share send
  * nothing. A claim holds for a limited time, after which the other hosts divide its share.
+ *
+ * An endpoint that refuses a request may also name a time for which it wants none from this host.
  */
 package org.hemlockpond.core.entry
 
@@ -48,9 +50,13 @@
     internal fun of(process: EndpointProcess): EndpointLimit =
         limits.getOrPut(process) { EndpointLimit(settings, random) { claimsEndAt } }
 
-    /** Forgets an endpoint that is no longer listed, unless hosts claim shares in its limit. */
+    /**
+     * Forgets an endpoint that is no longer listed, unless hosts claim shares in its limit or it has
+     * named a time for which it wants no requests: it may be listed again.
+     */
     internal fun remove(process: EndpointProcess) {
-        if (limits[process]?.isFree == true) limits -= process
+        val limit = limits[process] ?: return
+        if (limit.isFree && limit.pausedUntil.isInfinite()) limits -= process
     }
 
     /**
@@ -79,6 +85,10 @@
     private var tokens = 0.0
     private var filledAt = Duration.ZERO
 
+    /** The end of the time for which the endpoint wants no requests from this host. */
+    var pausedUntil = -Duration.INFINITE
+        private set
+
     /** Whether no limit is known. */
     val isFree: Boolean get() = perSecond == null && claims.count == 0 && !isUncertain
 
@@ -89,6 +99,11 @@
         isUncertain = false
     }
 
+    /** The endpoint wants no requests until [until]; an earlier end named before or later is void. */
+    fun pause(until: Duration) {
+        pausedUntil = maxOf(pausedUntil, until)
+    }
+
     fun claimsChanged(next: LimitClaims, now: Duration) {
         fill(now)
         val hasEnded = claims.count > 0 && next.count == 0
@@ -101,6 +116,7 @@
     /** Whether the endpoint may get a request in addition to this host's [running] ones. */
     fun mayReceive(running: Int, now: Duration): Boolean {
         forgetOldLimit(now)
+        if (now < pausedUntil) return false
         if (isFree) return true
         if (perSecond == null && claims.count == 0) return running == 0 && now >= returnAt
         fill(now)
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointLoad.kt
@@ -57,6 +57,9 @@
         running < capacity && now >= fullUntil && health.mayReceive(running, now) &&
             !isSilent(now) && limit.mayReceive(running, now)
 
+    /** The end of the time for which the endpoint wants no requests from this host. */
+    val pausedUntil: Duration get() = limit.pausedUntil
+
     /** Pauses the endpoint after it refused a request because it is full. */
     fun markFull(now: Duration) {
         fullUntil = now + settings.fullBackoff
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -51,6 +51,11 @@
                 val held = heldVersion ?: return loads.values
                 return loads.values.filter { it.endpoint.version != held }.ifEmpty { loads.values }
             }
+
+        /** When the first endpoint wants requests again; null if one wants them at [now]. */
+        fun pausedUntil(now: Duration): Duration? =
+            candidates.minOfOrNull { it.pausedUntil }?.takeIf { it > now }
+
         val waiting = WaitingRequests()
         val suspects = CrashSuspects(settings.crashes)
         val retries = RetryBudget(settings.retryRatio, settings.retryBurst)
@@ -118,6 +123,10 @@
         }
     }
 
+    /** Sends nothing to [process] for [pause]: it has refused a request and named this time. */
+    fun endpointPaused(process: EndpointProcess, pause: Duration, now: Duration) =
+        limits.of(process).pause(now + pause)
+
     private fun service(id: ServiceId): ServiceState = services.getOrPut(id) {
         ServiceState(settings)
     }
@@ -197,6 +206,11 @@
             giveUp(entry, if (hasNoEndpoint) ErrorKind.NO_ENDPOINT else ErrorKind.OVERLOADED)
             return
         }
+        val pausedUntil = service.pausedUntil(now)
+        if (pausedUntil != null && pausedUntil >= expiresAt) {
+            giveUp(entry, ErrorKind.OVERLOADED, minWait = pausedUntil - now)
+            return
+        }
         service.waiting.add(WaitingRequests.Waiting(request, expiresAt))
     }
 
@@ -338,19 +352,29 @@
         }
     }
 
-    private fun MutableList<EntryAction>.giveUp(entry: OpenRequest, kind: ErrorKind) {
+    /** @param minWait how long no endpoint will take a request, as far as that is known */
+    private fun MutableList<EntryAction>.giveUp(
+        entry: OpenRequest,
+        kind: ErrorKind,
+        minWait: Duration = Duration.ZERO
+    ) {
         close(entry)
         add(
             when {
                 entry.isAnswerHeld -> EntryAction.Deliver(entry.request)
                 entry.possibleRuns > 0 -> EntryAction.Fail(entry.request, ErrorKind.ENDPOINT_FAILED)
-                else -> refusal(entry.request, kind)
+                else -> refusal(entry.request, kind, minWait)
             }
         )
     }
 
-    private fun refusal(request: EntryRequest, kind: ErrorKind): EntryAction.Refuse {
-        val retryAfter = settings.retryAfterMin + settings.retryAfterJitter * random.nextDouble()
+    private fun refusal(
+        request: EntryRequest,
+        kind: ErrorKind,
+        minWait: Duration = Duration.ZERO
+    ): EntryAction.Refuse {
+        val wait = maxOf(minWait, settings.retryAfterMin)
+        val retryAfter = wait + settings.retryAfterJitter * random.nextDouble()
         return EntryAction.Refuse(request, kind, retryAfter)
     }
 
@@ -452,10 +476,13 @@
     fun tick(now: Duration): List<EntryAction> = buildList {
         for (service in services.values) {
             sendWaiting(service, now)
-            for (request in service.waiting.removeExpired(now)) {
+            // A request that can't be sent before the end of its wait is refused at once.
+            val pausedUntil = service.pausedUntil(now) ?: now
+            for (request in service.waiting.removeExpired(pausedUntil)) {
                 val entry = open[request.id] ?: continue
                 val hasNoEndpoint = service.loads.isEmpty()
-                giveUp(entry, if (hasNoEndpoint) ErrorKind.NO_ENDPOINT else ErrorKind.OVERLOADED)
+                val kind = if (hasNoEndpoint) ErrorKind.NO_ENDPOINT else ErrorKind.OVERLOADED
+                giveUp(entry, kind, minWait = pausedUntil - now)
             }
             if (service.loads.values.any { it.isSilent(now) }) cancelSilentAttempts(service, now)
         }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -24,6 +24,9 @@
 
 /** Receives what an endpoint sends for one request. Nothing follows [ended] or [broken]. */
 internal interface AnswerSink {
+    /** The endpoint said something of itself, with this answer or one to another request. */
+    fun endpointStated(answer: AnswerHead)
+
     fun head(response: HttpResponse, answer: AnswerHead)
 
     /** The sink releases [bytes]. */
@@ -65,6 +68,8 @@
      * already ended.
      */
     private object DiscardedAnswer : AnswerSink {
+        override fun endpointStated(answer: AnswerHead) = Unit
+
         override fun head(response: HttpResponse, answer: AnswerHead) = Unit
 
         override fun content(bytes: ByteBuf) {
@@ -104,15 +109,15 @@
     private var skipping = false
     private var reusable = true
     private var requestWritten = false
+
+    /** Whether an earlier request was sent on this connection. */
+    private var isUsed = false
     private var idleTimeout: Duration? = null
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
     }
 
-    /** Whether an earlier request was sent on this connection. */
-    private var isUsed = false
-
     fun send(id: RequestId, request: FullHttpRequest, sink: AnswerSink) {
         exchange = Exchange(id, sink)
         requestWritten = false
@@ -194,20 +199,21 @@
         val foreign = answer.requestId != null && answer.requestId != current.id
         skipping = interim || foreign
         if (interim) return
+        current.sink.endpointStated(answer)
         if (foreign) {
             reusable = false
             return
         }
+        if (answer.requestId == null && isUsed) {
+            fail("answer without a request id, perhaps to an earlier request", false)
+            return
+        }
         if (!HttpUtil.isKeepAlive(response)) reusable = false
         idleTimeout = answer.idleTimeout
         current.answerStarted = true
         val headers = response.headers()
         current.lengthKnown = HttpUtil.isTransferEncodingChunked(response) ||
             headers.contains(HttpHeaderNames.CONTENT_LENGTH)
-        if (answer.requestId == null && isUsed) {
-            fail("answer without a request id, perhaps to an earlier request", false)
-            return
-        }
         if (!current.lengthKnown) reusable = false
         current.sink.head(response, answer)
     }
@@ -224,13 +230,13 @@
         if (current.sink === DiscardedAnswer) addSurplus(current, count)
         if (!last || exchange !== current) return
         exchange = null
+        isUsed = true
         current.sink.ended(current.lengthKnown)
         when {
             !reusable -> channel.close()
             requestWritten -> owner.connectionIdle(this, idleTimeout)
         }
     }
-        isUsed = true
 
     private fun fail(cause: String, connectionLost: Boolean) {
         reusable = false
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -40,6 +40,9 @@
     /** The first event of a stream, or the head of a plain answer, arrived. */
     fun answerStarted(exchange: EntryExchange)
 
+    /** The endpoint says that it leaves, or for how long it wants no requests. */
+    fun endpointStated(exchange: EntryExchange, answer: AnswerHead)
+
     /** An answer named a limit of requests a second, or none if [perSecond] is null. */
     fun limitNamed(exchange: EntryExchange, perSecond: Double?)
 
@@ -65,12 +68,12 @@
 
     private val streaming = request.route.streaming
     private var connection: EndpointConnection? = null
-    private var splitter = EventSplitter()
-    private var status = HttpResponseStatus.OK
-    private var headers: HttpHeaders? = null
 
     /** The connections on which the request was sent. */
     private val usedConnections = ArrayList<EndpointConnection>(1)
+    private var splitter = EventSplitter()
+    private var status = HttpResponseStatus.OK
+    private var headers: HttpHeaders? = null
     private var partialBody: CompositeByteBuf? = null
     private var bufferedAnswer: BufferedAnswer? = null
 
@@ -118,9 +121,6 @@
     /** The id of the last event that the caller has received. */
     val resumeAfter: String? get() = splitter.lastId ?: callerHead.resumeAfter
 
-    fun attach(endpointConnection: EndpointConnection) {
-        connection = endpointConnection
-        headReceived = false
     /**
      * Whether the request may be sent on [endpointConnection]. An endpoint may write an earlier refusal
      * of the same request once more, so a connection carries a request only once.
@@ -128,9 +128,16 @@
     fun mayUse(endpointConnection: EndpointConnection): Boolean =
         endpointConnection !in usedConnections
 
+    fun attach(endpointConnection: EndpointConnection) {
+        connection = endpointConnection
+        usedConnections += endpointConnection
+        headReceived = false
         answerBegan = false
         endpointConnection.setPaused(!caller.isWritable && headSent)
-        usedConnections += endpointConnection
+    }
+
+    override fun endpointStated(answer: AnswerHead) {
+        if (answer.isLeaving || answer.pause != null) listener.endpointStated(this, answer)
     }
 
     override fun head(response: HttpResponse, answer: AnswerHead) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryProtocol.kt
@@ -60,6 +60,9 @@
  * @property idleTimeout how long the endpoint keeps the connection open without a request
  * @property requestLimit the requests a second that the endpoint takes from all hosts together; null
  *   if it names no limit
+ * @property isLeaving whether the endpoint states that it leaves and takes no new requests
+ * @property pause the time for which the endpoint wants no requests from this host; null if it names
+ *   none
  */
 data class AnswerHead(
     val requestId: RequestId?,
@@ -67,7 +70,9 @@
     val notRun: Boolean,
     val misdirected: Boolean,
     val idleTimeout: Duration?,
-    val requestLimit: Double? = null
+    val requestLimit: Double? = null,
+    val isLeaving: Boolean = false,
+    val pause: Duration? = null
 )
 
 /** Reads and writes the headers of callers and endpoints. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -25,6 +25,7 @@
 import org.hemlockpond.core.entry.AttemptEnd
 import org.hemlockpond.core.entry.CrashReport
 import org.hemlockpond.core.entry.DirectoryChange
+import org.hemlockpond.core.entry.EndpointProcess
 import org.hemlockpond.core.entry.EntryAction
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryCustomer
@@ -48,6 +49,12 @@
     fun reportCleared(service: ServiceId, suspects: Collection<Suspect>)
 }
 
+/** Receives what endpoints say of themselves in their answers. */
+internal fun interface EndpointStatements {
+    /** [process] said that it leaves. */
+    fun endpointLeaves(process: EndpointProcess)
+}
+
 internal class EntryRequests(
     private val settings: EntryRouterSettings,
     private val dialect: EntryDialect,
@@ -58,7 +65,8 @@
     private val metrics: RouterMetrics,
     private val loop: EventLoop,
     private val crashReporter: CrashReporter,
-    private val limitRecords: LimitRecords
+    private val limitRecords: LimitRecords,
+    private val statements: EndpointStatements
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
     private val crashCheck = CrashCheck(pool)
@@ -341,6 +349,15 @@
         perform(dispatcher.answerStarted(exchange.request.id, now))
     }
 
+    override fun endpointStated(exchange: EntryExchange, answer: AnswerHead) {
+        val process = exchange.endpoint ?: return
+        answer.pause?.let { pause ->
+            log(LogEvent.ENDPOINT_PAUSED, "endpoint" to process.endpoint, "for" to millis(pause))
+            dispatcher.endpointPaused(process, pause, now())
+        }
+        if (answer.isLeaving) statements.endpointLeaves(process)
+    }
+
     override fun limitNamed(exchange: EntryExchange, perSecond: Double?) {
         exchange.endpoint?.let { limitRecords.limitNamed(it, perSecond) }
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -97,7 +97,7 @@
             loop,
             crashRecords,
             limitRecords
-        )
+        ) { applyEndpointChanges(directory.processLeaves(it)) }
     private val fleetWatcher =
         FleetWatcher(store, format, settings, scope, sharedRecords, FleetEvents())
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
