--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -208,12 +208,27 @@
         applyEndpointChanges(directory.tick(now))
         requests.tick(now)
         pool.tick()
+        // A watch that is cut off ends only after its wait.
+        if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
     }
 
     /**
      * Applies the settings that can change while the router runs: the stop limit. Changed addresses
      * take effect at the next start.
      */
+    private fun storeReachabilityChanged(reachable: Boolean, cause: String?) {
+        budgets.storeReachabilityChanged(reachable)
+        if (reachable == storeReachable) return
+        storeReachable = reachable
+        if (reachable) {
+            log(LogEvent.STORE_REACHABLE)
+            directory.storeReturned(clock.now().elapsed)
+        } else {
+            log(LogEvent.STORE_UNREACHABLE, "cause" to cause)
+            directory.storeLost()
+        }
+    }
+
     fun reload(next: EntryRouterSettings) {
         stopLimit = next.stopLimit
         log(LogEvent.SETTINGS_RELOADED, "stop limit" to next.stopLimit)
@@ -406,18 +421,8 @@
             applyEndpointChanges(directory.removeUnreadable(id))
 
         override fun storeCallEnded(answered: Boolean, cause: String?) {
-            val now = clock.now().elapsed
-            if (answered) storeAnsweredAt = now
-            budgets.storeReachabilityChanged(answered)
-            if (answered == storeReachable) return
-            storeReachable = answered
-            if (answered) {
-                log(LogEvent.STORE_REACHABLE)
-                directory.storeReturned(now)
-            } else {
-                log(LogEvent.STORE_UNREACHABLE, "cause" to cause)
-                directory.storeLost()
-            }
+            if (answered) storeAnsweredAt = clock.now().elapsed
+            storeReachabilityChanged(answered, cause)
         }
     }
 
