Count the store's calls by purpose and outcome

On-call could not see which kind of shared state a host's calls are for. /metrics has hemlockpond_store_calls_total with the purpose (the first part of the key) and the outcome (applied, conflict, unanswered).

--- a/router/src/main/kotlin/org/hemlockpond/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/RouterMetrics.kt
@@ -35,6 +35,14 @@
         kind.code
     ).increment()
 
+    fun storeCall(purpose: String, outcome: String) = registry.counter(
+        "hemlockpond.store.calls",
+        "purpose",
+        purpose,
+        "outcome",
+        outcome
+    ).increment()
+
     fun gauge(name: String, value: () -> Number) {
         registry.gauge(name, value) { it().toDouble() }
         // The registry holds gauge functions weakly.
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -56,7 +56,7 @@
 class EntryRouter(
     private val settings: EntryRouterSettings,
     private val group: EventLoopGroup,
-    private val store: KeyValueStore,
+    unmeteredStore: KeyValueStore,
     private val dialect: EntryDialect,
     format: FleetFormat,
     private val exit: (Int) -> Unit
@@ -67,6 +67,10 @@
     private val id =
         RouterId("${settings.host}/${UUID.randomUUID().toString().take(RUN_ID_LENGTH)}")
     private val metrics = RouterMetrics()
+    private val store: KeyValueStore =
+        MeteredStore(unmeteredStore) { purpose, outcome ->
+            metrics.storeCall(purpose, outcome.label)
+        }
     private val directory = EndpointDirectory()
     private val limits = EndpointLimits(settings.entry.limits)
     private val dispatcher = EntryDispatcher(settings.domain, settings.entry, limits = limits)
@@ -204,18 +208,14 @@
 
     private fun tick() {
         val now = clock.now().elapsed
+        // A watch that is cut off ends only after its wait.
+        if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
         budgets.tick()
         applyEndpointChanges(directory.tick(now))
         requests.tick(now)
         pool.tick()
-        // A watch that is cut off ends only after its wait.
-        if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
     }
 
-    /**
-     * Applies the settings that can change while the router runs: the stop limit. Changed addresses
-     * take effect at the next start.
-     */
     private fun storeReachabilityChanged(reachable: Boolean, cause: String?) {
         budgets.storeReachabilityChanged(reachable)
         if (reachable == storeReachable) return
@@ -229,6 +229,10 @@
         }
     }
 
+    /**
+     * Applies the settings that can change while the router runs: the stop limit. Changed addresses
+     * take effect at the next start.
+     */
     fun reload(next: EntryRouterSettings) {
         stopLimit = next.stopLimit
         log(LogEvent.SETTINGS_RELOADED, "stop limit" to next.stopLimit)
