Write spend marks every two seconds

Cause: marks were two fifths of the remaining store calls, one a second and host (counted by purpose in a trial on a scratch copy).

Change: a mark is written every 2 s and its pace lasts for 5 s (4 s before); what a kill loses grows by a second's pace at most.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -40,10 +40,10 @@
     minReadInterval = 200.milliseconds,
     hasNoPeers = true,
     spendMarks = SpendMarkSettings(
-        interval = 1.seconds,
+        interval = 2.seconds,
         initialShare = 0.15,
         sharePerSecond = 0.08,
-        ttl = 4.seconds,
+        ttl = 5.seconds,
         outageSpan = 12.seconds,
         outageShare = 0.8
     ),
