Report the slices of a home every three seconds

Change: domainBudgetSettings makes the report interval that of a domain with three holders, and splits the even part among the failure domains.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryBudget.kt
@@ -49,3 +49,13 @@
     ),
     closeWithoutCopyDelay = Duration.ZERO
 )
+
+/**
+ * Budget settings of a fleet in which one host of each of [domains] failure domains holds the slices of
+ * a customer.
+ */
+fun domainBudgetSettings(domains: Int): BudgetSettings = entryBudgetSettings.copy(
+    minHolders = domains.coerceAtLeast(1),
+    // A domain reports as often as one with three holders would.
+    reportInterval = entryBudgetSettings.reportInterval * 3
+)
