Log a refused reservation where the tokens are held

Cause: HP1812 showed the slice of the host that refused the caller, which holds none unless it is the customer's home.

Change: the host that holds the slice logs HP1812 with the reservation's key; the host that asked logs HP1819 with the home and the number under which it asked.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
@@ -50,8 +50,18 @@
     /** The tokens of [request] are reserved until it is settled. */
     data class Reserved(val request: RequestId) : TokenAction
 
-    /** [request] gets no tokens and must not run. */
-    data class Refused(val request: RequestId, val kind: ErrorKind) : TokenAction
+    /**
+     * [request] gets no tokens and must not run.
+     *
+     * @property home the host that refused them; null if this one did
+     * @property ask the number under which [home] was asked
+     */
+    data class Refused(
+        val request: RequestId,
+        val kind: ErrorKind,
+        val home: HostName? = null,
+        val ask: Long? = null
+    ) : TokenAction
 
     /** Send [message] to [to]; it may get lost. */
     data class Send(val to: HostName, val message: TokenMessage) : TokenAction
@@ -269,7 +279,7 @@
             askNext(waiting, now)
         } else {
             wanted -= waiting.request
-            actions += TokenAction.Refused(waiting.request, message.kind)
+            actions += TokenAction.Refused(waiting.request, message.kind, host, message.ask)
         }
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -73,7 +73,8 @@
     ROLLOUT_INVALID(1815, Level.ERROR, "a roll-out order can't be decoded; it is ignored"),
     ENDPOINT_LIMIT(1816, Level.INFO, "an endpoint named a limit, or none any more"),
     ENDPOINT_PAUSED(1817, Level.INFO, "an endpoint refused a request and named a pause"),
-    HOST_REGISTERED(1818, Level.INFO, "this host registered and found the others of its domain")
+    HOST_REGISTERED(1818, Level.INFO, "this host registered and found the others of its domain"),
+    HOME_REFUSED(1819, Level.INFO, "the home of a customer's tokens refused a reservation")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
@@ -9,12 +9,13 @@
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.RequestId
-import org.hemlockpond.core.budget.BudgetState
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.HostName
 import org.hemlockpond.core.entry.TokenAction
 import org.hemlockpond.core.entry.TokenBroker
+import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.log
 
 /** Finds the hosts of this failure domain, and carries messages to them. */
 internal interface DomainHosts {
@@ -40,6 +41,9 @@
 ) {
     private val budgets = createBudgets(LocalEvents())
 
+    /** What this host's slices were asked for and haven't answered. */
+    private val pending = HashMap<RequestId, TokenAction.ReserveLocally>()
+
     /** Customers whose budget record this host reads ahead, as their home. */
     private val expected = HashSet<CustomerId>()
     private var customers: Set<CustomerId> = emptySet()
@@ -88,9 +92,6 @@
 
     fun isPrepaid(customer: CustomerId): Boolean = budgets.isPrepaid(customer)
 
-    /** The state of [customer]'s budget at this host alone. */
-    fun state(customer: CustomerId): BudgetState = budgets.state(customer)
-
     /** @param limit the time after which the request has ended at the latest */
     fun reserve(request: RequestId, customer: CustomerId, tokens: Long, limit: Duration) =
         perform(broker.reserve(request, customer, tokens, limit, now()))
@@ -132,23 +133,59 @@
             when (action) {
                 is TokenAction.Reserved -> listener.reserved(action.request)
 
-                is TokenAction.Refused -> listener.refused(action.request, action.kind)
+                is TokenAction.Refused -> {
+                    if (action.home != null) logRefusalOfHome(action)
+                    listener.refused(action.request, action.kind)
+                }
 
                 is TokenAction.Send -> hosts?.send(action)
 
-                is TokenAction.ReserveLocally ->
+                is TokenAction.ReserveLocally -> {
+                    pending[action.key] = action
                     budgets.reserve(action.key, action.customer, action.tokens)
+                }
 
-                is TokenAction.SettleLocally -> budgets.settle(action.key, action.used)
+                is TokenAction.SettleLocally -> {
+                    pending -= action.key
+                    budgets.settle(action.key, action.used)
+                }
             }
         }
     }
 
+    private fun logRefusalOfHome(action: TokenAction.Refused) = log(
+        LogEvent.HOME_REFUSED,
+        "request" to action.request,
+        "home" to action.home,
+        "ask" to action.ask,
+        "kind" to action.kind.code
+    )
+
+    private fun logRefusal(asked: TokenAction.ReserveLocally, kind: ErrorKind) {
+        val state = budgets.state(asked.customer)
+        log(
+            LogEvent.BUDGET_REFUSED,
+            "reservation" to asked.key,
+            "customer" to asked.customer,
+            "kind" to kind.code,
+            "needed" to asked.tokens,
+            "free" to state.free,
+            "allowed" to state.spendable,
+            "recorded" to state.availableInRecord,
+            "record age" to state.recordAge.inWholeMilliseconds
+        )
+    }
+
     private inner class LocalEvents : BudgetListener {
-        override fun reserved(request: RequestId) = perform(broker.reservedLocally(request))
+        override fun reserved(request: RequestId) {
+            pending -= request
+            perform(broker.reservedLocally(request))
+        }
 
-        override fun refused(request: RequestId, kind: ErrorKind) =
+        override fun refused(request: RequestId, kind: ErrorKind) {
+            pending.remove(request)?.let { logRefusal(it, kind) }
             perform(broker.refusedLocally(request, kind, now()))
+        }
 
         override fun fenced() = listener.fenced()
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -209,18 +209,6 @@
         } else {
             tokenRetryAfter.delay(budgets.isStoreReachable)
         }
-        exchange.request.customer?.let { customer ->
-            val state = budgets.state(customer)
-            log(
-                LogEvent.BUDGET_REFUSED,
-                "request" to id,
-                "needed" to exchange.request.maxTokens,
-                "free" to state.free,
-                "allowed" to state.spendable,
-                "recorded" to state.availableInRecord,
-                "record age" to millis(state.recordAge)
-            )
-        }
         endExchange(exchange, "refused", kind) { exchange.refuse(kind, retryAfter) }
     }
 
