--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
@@ -209,7 +209,7 @@
             is TokenMessage.Reserve -> hold(host, from, message, now)
             is TokenMessage.Settle -> release(host, from, message, now)
             is TokenMessage.Settled -> reports.remove(message.ask)
-            is TokenMessage.Reserved -> reserved(host, message, now)
+            is TokenMessage.Reserved -> reserved(host, message)
             is TokenMessage.Refused -> refused(host, message, now)
         }
     }
@@ -258,7 +258,7 @@
         actions += TokenAction.SettleLocally(local, used)
     }
 
-    private fun reserved(host: HostName, message: TokenMessage.Reserved, now: Duration) {
+    private fun reserved(host: HostName, message: TokenMessage.Reserved) {
         val waiting = byAsk[message.ask]
         if (waiting == null || waiting.home != host) {
             // The request has ended or was sent elsewhere; its report may have been lost.
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostPeers.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostPeers.kt
@@ -149,11 +149,14 @@
         channel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(sealed), to))
     }
 
+    private fun isForThisHost(frame: PeerFrame) =
+        frame.to == self && frame.host != self && frame.domain == domain
+
     private fun receive(packet: DatagramPacket) {
         val bytes = ByteArray(packet.content().readableBytes())
         packet.content().readBytes(bytes)
-        val frame = seal?.open(bytes)
-        if (frame == null || frame.to != self || frame.host == self || frame.domain != domain) {
+        val frame = seal?.open(bytes)?.takeIf(::isForThisHost)
+        if (frame == null) {
             refused++
             return
         }
