--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
@@ -5,6 +5,7 @@
  */
 package org.hemlockpond.router.entry
 
+import io.netty.util.NetUtil
 import java.net.InetSocketAddress
 import java.security.SecureRandom
 import java.util.Base64
@@ -140,7 +141,7 @@
 
     /** An address that isn't numeric would be looked up by name on the event loop. */
     private fun addressOf(entry: StoredHost): InetSocketAddress? {
-        val isValid = entry.port in PORTS && io.netty.util.NetUtil.isValidIpV4Address(entry.address)
+        val isValid = entry.port in PORTS && NetUtil.isValidIpV4Address(entry.address)
         return if (isValid) InetSocketAddress(entry.address, entry.port) else null
     }
 
