Spread the returns of refused callers evenly

The additions were independent random numbers, and the header has hundredths of a second, so two callers that are refused in a row came back at the same time in about 1 of 20 cases.

Change: successive additions are steps of the golden ratio from a random start, so those of any few refusals in a row are apart. Both Retry-After computations use it.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -18,7 +18,7 @@
 class EntryDispatcher(
     domain: FailureDomain,
     private val settings: EntrySettings = EntrySettings(),
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
     private val limits: EndpointLimits = EndpointLimits()
 ) {
     private class OpenRequest(val request: EntryRequest) {
@@ -63,6 +63,7 @@
 
     private val choice = EndpointChoice(domain, settings)
     private val shedding = LoadShedding(settings, random)
+    private val retrySpread = RetrySpread(random)
     private val services = HashMap<ServiceId, ServiceState>()
     private val open = HashMap<RequestId, OpenRequest>()
     private var serviceConfigs: Map<ServiceId, EntryService> = emptyMap()
@@ -374,7 +375,7 @@
         minWait: Duration = Duration.ZERO
     ): EntryAction.Refuse {
         val wait = maxOf(minWait, settings.retryAfterMin)
-        val retryAfter = wait + settings.retryAfterJitter * random.nextDouble()
+        val retryAfter = wait + settings.retryAfterJitter * retrySpread.next()
         return EntryAction.Refuse(request, kind, retryAfter)
     }
 
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntrySettings.kt
@@ -51,7 +51,7 @@
  *   requests
  * @property retryAfterMin the minimum Retry-After; long enough for the requests of a crashed
  *   endpoint to have moved to others
- * @property retryAfterJitter the maximum random addition to [retryAfterMin], which spreads the
+ * @property retryAfterJitter the maximum addition to [retryAfterMin], which spreads the
  *   callers' retries
  * @property limits how the limits that endpoints name are kept
  * @property crashes when requests are refused because they crash endpoints
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenRetryAfter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenRetryAfter.kt
@@ -13,17 +13,19 @@
  * @property minWithStore the minimum delay while the store answers: the interval of slice reports
  * @property minWithoutStore the minimum delay during an outage. Outages last for several seconds,
  *   and callers wait for at most a third of their time.
- * @property jitter the maximum random addition as a fraction of the minimum delay, which spreads
+ * @property jitter the maximum addition as a fraction of the minimum delay, which spreads
  *   the callers' retries
  */
 class TokenRetryAfter(
-    private val random: Random = Random.Default,
+    random: Random = Random.Default,
     private val minWithStore: Duration = 1.seconds,
     private val minWithoutStore: Duration = 3.seconds,
     private val jitter: Double = 0.5
 ) {
+    private val spread = RetrySpread(random)
+
     fun delay(isStoreReachable: Boolean): Duration {
         val min = if (isStoreReachable) minWithStore else minWithoutStore
-        return min * (1 + jitter * random.nextDouble())
+        return min * (1 + jitter * spread.next())
     }
 }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EntryDispatcherTest.kt
@@ -193,4 +193,15 @@
         assertTrue(after.toSet().size > 40)
         assertTrue(after.all { it in 300.milliseconds..800.milliseconds })
     }
+
+    /** Guards against two callers that are refused in a row and return at the same time. */
+    @Test
+    fun successiveRetryAftersDiffer() {
+        val requests = List(300) { bed.submit(bed.request()) }
+        bed.advance(2.seconds)
+        val hundredths = requests.map {
+            assertIs<EntryAction.Refuse>(bed.lastAction(it)).retryAfter.inWholeMilliseconds / 10
+        }
+        for (row in hundredths.windowed(4)) assertEquals(row.size, row.toSet().size, "$row")
+    }
 }
