Treat a stored value that ends within a quoted number as invalid

Cause: the JSON library throws an IndexOutOfBoundsException for a text that ends within a number in quotes, such as {"slots":"6. The decoders expect IllegalArgumentException, so one such entry among those of the runners made every read of the list fail: a host that started was never ready, and a running one stopped following the list.

Change: decodeText, which reports such a text like any other syntax error, in place of decodeFromString.

--- a/cli/src/main/kotlin/org/hemlockpond/cli/Budgets.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Budgets.kt
@@ -9,6 +9,7 @@
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.core.decodeText
 import org.hemlockpond.store.ConditionalWrite
 
 /** Token counts stay below 2^53, which every JSON reader keeps exactly. */
@@ -78,7 +79,7 @@
     }
 
     private fun decode(key: String, text: String): BudgetRecord = try {
-        recordJson.decodeFromString(BudgetRecord.serializer(), text)
+        recordJson.decodeText(BudgetRecord.serializer(), text)
     } catch (e: SerializationException) {
         fail(ExitCode.FAILED, "$key can't be read by this release: ${e.message?.lines()?.first()}")
     }
--- a/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
+++ b/cli/src/main/kotlin/org/hemlockpond/cli/Moves.kt
@@ -12,6 +12,7 @@
 import org.hemlockpond.core.FleetConfig
 import org.hemlockpond.core.RouteId
 import org.hemlockpond.core.VersionId
+import org.hemlockpond.core.decodeText
 import org.hemlockpond.core.moves.MoveRecord
 import org.hemlockpond.core.moves.MoveState
 import org.hemlockpond.core.moves.RecordChange
@@ -126,7 +127,7 @@
         val stored = store.get(ConfigKeys.FLEET)
             ?: fail(ExitCode.FAILED, "the store has no ${ConfigKeys.FLEET}; use apply first")
         val fleet = try {
-            configJson.decodeFromString(FleetConfig.serializer(), stored.value)
+            configJson.decodeText(FleetConfig.serializer(), stored.value)
         } catch (e: SerializationException) {
             fail(ExitCode.FAILED, "${stored.key} can't be read: ${e.message?.lines()?.first()}")
         }
@@ -139,7 +140,7 @@
     }
 
     private fun decode(stored: StoredValue): MoveRecord = try {
-        moveJson.decodeFromString(MoveRecord.serializer(), stored.value)
+        moveJson.decodeText(MoveRecord.serializer(), stored.value)
     } catch (e: IllegalArgumentException) {
         val cause = e.message?.lines()?.first()
         fail(ExitCode.FAILED, "${stored.key} can't be read by this release: $cause")
--- a/core/src/main/kotlin/org/hemlockpond/core/configuration/ConfigState.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/configuration/ConfigState.kt
@@ -12,6 +12,7 @@
 import org.hemlockpond.core.Contract
 import org.hemlockpond.core.FleetConfig
 import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.decodeText
 
 /**
  * One configuration entry of the store.
@@ -89,7 +90,7 @@
                     if (value == null) {
                         contracts.remove(entry.key)
                     } else {
-                        contracts[entry.key] = json.decodeFromString(Contract.serializer(), value)
+                        contracts[entry.key] = json.decodeText(Contract.serializer(), value)
                     }
                 }
             }
@@ -102,7 +103,7 @@
     }
 
     private fun decodeFleet(value: String): FleetConfig =
-        json.decodeFromString(FleetConfig.serializer(), value)
+        json.decodeText(FleetConfig.serializer(), value)
 
     companion object {
         /** The prefix of all configuration keys in the store. */
--- a/router/src/main/kotlin/org/hemlockpond/router/StoredRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/StoredRecords.kt
@@ -5,6 +5,7 @@
 
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.json.Json
+import org.hemlockpond.core.decodeText
 
 private val recordJson = Json { ignoreUnknownKeys = true }
 
@@ -14,7 +15,7 @@
 
 /** The record stored under [key]; null, and a log line, if it can't be read. */
 internal fun <T> decodeRecord(type: KSerializer<T>, key: String, value: String): T? = try {
-    recordJson.decodeFromString(type, value)
+    recordJson.decodeText(type, value)
 } catch (e: IllegalArgumentException) {
     // Syntax errors are of this type, too.
     log(LogEvent.RECORD_INVALID, "key" to key, "reason" to e.message?.lineSequence()?.first())
--- a/router/src/main/kotlin/org/hemlockpond/router/caller/HttpAnswerWriter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/caller/HttpAnswerWriter.kt
@@ -15,6 +15,7 @@
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.serialization.json.Json
 import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.decodeText
 import org.hemlockpond.core.ledger.RecordedAnswer
 import org.hemlockpond.router.AnswerRelay
 import org.hemlockpond.router.AnswerWriter
@@ -62,7 +63,7 @@
     }
 
     override fun replayStream(answer: RecordedAnswer, after: Long) {
-        val recorded = Json.decodeFromString(RecordedStream.serializer(), answer.body)
+        val recorded = Json.decodeText(RecordedStream.serializer(), answer.body)
         recorded.pieces.forEachIndexed { index, text ->
             if (index >= after) writePiece(index.toLong(), text) {}
         }
--- a/store/src/main/kotlin/org/hemlockpond/store/EtcdStore.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/EtcdStore.kt
@@ -14,6 +14,7 @@
 import kotlinx.coroutines.flow.map
 import kotlinx.serialization.KSerializer
 import kotlinx.serialization.SerializationException
+import org.hemlockpond.core.decodeText
 
 /**
  * The store behind the product's own interface.
@@ -110,7 +111,7 @@
         return http.stream(address(), "/v3/watch", body)
             .buffer(WATCH_BUFFER, BufferOverflow.SUSPEND)
             .map { text ->
-                val result = EtcdJson.decodeFromString(WatchResponse.serializer(), text).result
+                val result = EtcdJson.decodeText(WatchResponse.serializer(), text).result
                 result.events.map { it.toChange() }
             }
     }
@@ -140,7 +141,7 @@
             return CallResult.Failed("the store answered ${ok.status}: ${ok.body.take(200)}", true)
         }
         return try {
-            CallResult.Answer(EtcdJson.decodeFromString(responseType, ok.body))
+            CallResult.Answer(EtcdJson.decodeText(responseType, ok.body))
         } catch (e: SerializationException) {
             CallResult.Failed("the store's answer can't be decoded: ${e.message}", true)
         }
