Give customers in three groups to the token homes of a failure domain

Change: the customers are divided into three groups, and a group has one home. A transaction carries the slices of the group, and three hosts of a domain write marks.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
@@ -33,6 +33,8 @@
  * @property settleInterval the time between two reports of a use that isn't confirmed
  * @property holdMargin how much longer than asked a home keeps a reservation, for late reports
  * @property drainTime how long a stopping home waits for reports before it charges in full
+ * @property homeGroups the groups of customers that share a home; the loss of a home delays the requests
+ *   of one group
  */
 data class TokenBrokerSettings(
     val answerTimeout: Duration = 120.milliseconds,
@@ -42,8 +44,13 @@
     val maxSilencePause: Duration = 60.seconds,
     val settleInterval: Duration = 400.milliseconds,
     val holdMargin: Duration = 3.seconds,
-    val drainTime: Duration = 1.seconds
-)
+    val drainTime: Duration = 1.seconds,
+    val homeGroups: Int = 3
+) {
+    init {
+        require(homeGroups >= 1) { "homeGroups is $homeGroups, not at least 1" }
+    }
+}
 
 /** An action that [TokenBroker] requests. */
 sealed interface TokenAction {
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenHomes.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenHomes.kt
@@ -2,6 +2,10 @@
  * Chooses the home of each customer's tokens among the hosts of one failure domain. All hosts choose
  * the same one by rendezvous hashing, as long as they know the same hosts. A host that doesn't answer
  * is passed over for a time that doubles with each further silence: it may be stopped for good.
+ *
+ * The customers are divided into a few groups, and each group has one home. One transaction of a home
+ * then carries the slices of many customers, and only the homes write spend marks, so the store's
+ * calls don't grow with the number of hosts.
  */
 package org.hemlockpond.core.entry
 
@@ -46,7 +50,8 @@
 
     /** The hosts to ask for tokens of [customer], the home first; this host is among them. */
     fun order(customer: CustomerId, now: Duration): List<HostName> {
-        val key = mix(customer.value.hashCode().toLong())
+        val group = Math.floorMod(mix(customer.value.hashCode().toLong()), settings.homeGroups)
+        val key = mix(group.toLong())
         return (peers.values.filter { now >= it.passedOverUntil } + own)
             .sortedByDescending { mix(key xor it.hash) }
             .map { it.name }
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
@@ -103,6 +103,27 @@
         assertEquals(listOf("r" to ErrorKind.BUDGET_EXHAUSTED), other.refused)
     }
 
+    /** Guards against store calls of every host: each home writes slices and spend marks. */
+    @Test
+    fun fewHostsOfALargeDomainAreHomes() {
+        val domain = TokenNetwork(hosts = 19, seed = 1)
+        val customers = List(40) { CustomerId("customer-$it") }
+        val homes = customers.associateWith { domain.homeOf(it) }
+        assertTrue(homes.values.toSet().size <= 3, "${homes.values.map { it.name }.toSet()}")
+        val lost = homes.values.first()
+        val others = domain.hosts - lost
+        others.forEach { host ->
+            host.free = 1_000
+            customers.forEach { host.reserve("r-${host.name}-$it", it, 1) }
+        }
+        lost.isUp = false
+        domain.run(1.seconds)
+        for ((customer, home) in homes) {
+            if (home === lost) continue
+            assertTrue(others.all { it.broker.isHome(customer, domain.now) == (it === home) })
+        }
+    }
+
     /** Guards against a caller's id that equals the key of another host's reservation. */
     @Test
     fun ownAndHeldReservationsNeverShareAKey() {
