Let one host of each failure domain watch the store for the others

Change: StoreReaderRole ranks the hosts of a domain; the first one watches and sends the revisions of the last changes every 400 ms and at each change. The others read when a revision is newer than theirs, and one of them takes over after a second of silence and its turn. Hosts that have lost the store probe it in turns. What is applied is always read from the store; a message only says that there is something to read. The grace for entries that lapsed in an outage is passed on, as a host may not have noticed the outage itself. PrefixWatch holds the loop that FleetWatcher had.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EndpointDirectory.kt
@@ -72,6 +72,17 @@
         graceUntil = now + RENEWAL_GRACE_PERIOD
     }
 
+    /** How much longer entries may be missing after an outage of the store. */
+    fun graceLeft(now: Duration): Duration = (graceUntil - now).coerceAtLeast(Duration.ZERO)
+
+    /**
+     * Another host has seen an outage of the store, which this one may not have noticed; entries may be
+     * missing for [grace].
+     */
+    fun extendGrace(grace: Duration, now: Duration) {
+        graceUntil = maxOf(graceUntil, now + grace.coerceAtMost(RENEWAL_GRACE_PERIOD))
+    }
+
     /** Applies a complete read of the list. */
     fun replaceAll(entries: List<ListedEndpoint>, now: Duration): List<DirectoryChange> =
         buildList {
--- /dev/null
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/StoreReaderRole.kt
@@ -0,0 +1,107 @@
+/*
+ * Decides whether an entry host watches the store itself or relies on another host of its failure
+ * domain.
+ *
+ * What all hosts of a domain would read is the same, so one of them, the reader, watches the store and
+ * tells the others the revisions at which something changed; they read only then. All hosts rank the
+ * hosts in the same order. The first one is the reader; any other takes over while it hears nothing.
+ * The hosts of a domain that has lost the store take turns to probe it, and the first one that gets
+ * an answer tells the others.
+ *
+ * Messages only save calls: what is applied is always read from the store.
+ */
+package org.hemlockpond.core.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import org.hemlockpond.core.routing.mix
+
+/**
+ * Settings of a [StoreReaderRole].
+ *
+ * @property messageInterval the time between two messages of a reader
+ * @property silenceLimit the time without a message after which a host no longer relies on its reader;
+ *   covers two lost messages
+ * @property turn how much later than the host before it in the order each host takes over
+ * @property maxTurns the most turns that a host waits; many known hosts may be gone for good
+ * @property probeInterval the least time between two probes of a host that has lost the store
+ */
+data class StoreReaderSettings(
+    val messageInterval: Duration = 400.milliseconds,
+    val silenceLimit: Duration = 1.seconds,
+    val turn: Duration = 200.milliseconds,
+    val maxTurns: Int = 8,
+    val probeInterval: Duration = 1.seconds
+)
+
+/** @param hosts returns the other hosts of the failure domain that are known */
+class StoreReaderRole(
+    private val self: HostName,
+    private val settings: StoreReaderSettings,
+    private val hosts: () -> Set<HostName>
+) {
+    private var followed: HostName? = null
+    private var heardAt = -Duration.INFINITE
+    private var unansweredAt = -Duration.INFINITE
+    private var isAnswered = true
+
+    /** A host that has the store's answers says so. */
+    fun heard(from: HostName, now: Duration) {
+        if (isReader(now) && rank(from) > rank(self)) return
+        followed = from
+        heardAt = now
+    }
+
+    /** The store has answered a call of this host. */
+    fun answered() {
+        isAnswered = true
+    }
+
+    /** The store hasn't answered a call of this host. */
+    fun unanswered(now: Duration) {
+        isAnswered = false
+        unansweredAt = now
+    }
+
+    /** Whether another host watches the store for this one. */
+    fun isFollowing(now: Duration): Boolean =
+        followed != null && now - heardAt < settings.silenceLimit
+
+    /** Whether this host watches the store and tells the others what it sees. */
+    fun isReader(now: Duration): Boolean = isAnswered && !isFollowing(now) && now >= takeOverAt()
+
+    /** When this host may read the store although no other host has told it to. */
+    fun readAt(now: Duration): Duration = when {
+        isFollowing(now) -> heardAt + settings.silenceLimit + turns()
+        isAnswered -> takeOverAt()
+        else -> maxOf(takeOverAt(), unansweredAt + probeInterval())
+    }
+
+    private fun takeOverAt() = if (followed == null) {
+        -Duration.INFINITE
+    } else {
+        heardAt + settings.silenceLimit + turns()
+    }
+
+    private fun turns() = settings.turn * rank(self).coerceAtMost(settings.maxTurns)
+
+    /** Long enough for each host to have its turn. */
+    private fun probeInterval() = maxOf(
+        settings.probeInterval,
+        settings.turn * (hosts().size + 1).coerceAtMost(2 * settings.maxTurns)
+    )
+
+    /** The number of known hosts before [host] in the order that all hosts share. */
+    private fun rank(host: HostName): Int {
+        val own = weight(host)
+        return (hosts() + self).count { weight(it) > own }
+    }
+
+    private fun weight(host: HostName) = mix(ORDER_KEY xor mix(host.value.hashCode().toLong()))
+
+    private companion object {
+        /** Separates this order from those of the customers' homes. */
+        const val ORDER_KEY = 0x73746f7265L
+    }
+}
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointDirectoryTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/EndpointDirectoryTest.kt
@@ -3,6 +3,7 @@
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertIs
+import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import org.hemlockpond.core.EndpointId
 
@@ -47,6 +48,28 @@
         assertEquals(listOf("e1"), names())
     }
 
+    /** Guards against dropping live endpoints after an outage that only another host noticed. */
+    @Test
+    fun gracePeriodOfAnotherHostCounts() {
+        directory.replaceAll(listOf(e1, e2), 1.seconds)
+        directory.extendGrace(2.seconds, 10.seconds)
+        directory.replaceAll(listOf(e2), 11.seconds)
+        assertEquals(listOf("e1", "e2"), names())
+        directory.extendGrace(0.seconds, 11.seconds)
+        directory.tick(11_900.milliseconds)
+        assertEquals(listOf("e1", "e2"), names())
+        directory.tick(12.seconds)
+        assertEquals(listOf("e2"), names())
+    }
+
+    /** Guards against a message that keeps endpoints that are gone for ever. */
+    @Test
+    fun gracePeriodOfAnotherHostIsBounded() {
+        directory.replaceAll(listOf(e1), 1.seconds)
+        directory.extendGrace(1_000.seconds, 10.seconds)
+        assertEquals(EndpointDirectory.RENEWAL_GRACE_PERIOD, directory.graceLeft(10.seconds))
+    }
+
     /** Guards against keeping the state of an endpoint that was restarted under the same id. */
     @Test
     fun restartedEndpointIsRemovedAndAdded() {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -36,6 +36,8 @@
 import org.hemlockpond.core.entry.ListedEndpoint
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.StoreReaderRole
+import org.hemlockpond.core.entry.StoreRevisions
 import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.core.entry.TokenAction
 import org.hemlockpond.core.entry.TokenBroker
@@ -101,8 +103,18 @@
             crashRecords,
             limitRecords
         ) { applyEndpointChanges(directory.processLeaves(it)) }
-    private val fleetWatcher =
-        FleetWatcher(store, format, settings, scope, sharedRecords, FleetEvents())
+    private val readerRole = StoreReaderRole(hostName, settings.reader) { broker.hosts }
+    private val fleetWatcher = FleetWatcher(
+        store,
+        format,
+        settings,
+        scope,
+        sharedRecords,
+        readerRole,
+        FleetEvents(),
+        send = { domainHosts?.peers?.tell(it) },
+        now = { clock.now().elapsed }
+    )
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
     private val listeners = ArrayList<Channel>()
@@ -169,6 +181,9 @@
         metrics.gauge("hemlockpond.budget.store.calls") { budgets.storeCalls }
         metrics.gauge("hemlockpond.peer.hosts") { broker.hosts.size }
         metrics.gauge("hemlockpond.peer.reservations") { broker.heldCount }
+        metrics.gauge("hemlockpond.store.reader") {
+            if (readerRole.isReader(clock.now().elapsed) && storeReachable) 1 else 0
+        }
         domainHosts?.let { hosts ->
             metrics.gauge("hemlockpond.peer.datagrams.sent") { hosts.peers.sent }
             metrics.gauge("hemlockpond.peer.datagrams.refused") { hosts.peers.refused }
@@ -212,10 +227,19 @@
         if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
         budgets.tick()
         applyEndpointChanges(directory.tick(now))
+        fleetWatcher.tick(directory.graceLeft(now))
         requests.tick(now)
         pool.tick()
     }
 
+    /** The host [from] has the store's answers; this one then counts as in contact with it, too. */
+    private fun revisionsTold(from: HostName, revisions: StoreRevisions) {
+        val now = clock.now().elapsed
+        fleetWatcher.revisionsTold(from, revisions)
+        if (readerRole.isFollowing(now)) storeAnsweredAt = now
+        directory.extendGrace(revisions.graceMillis.milliseconds, now)
+    }
+
     private fun storeReachabilityChanged(reachable: Boolean, cause: String?) {
         budgets.storeReachabilityChanged(reachable)
         if (reachable == storeReachable) return
@@ -339,6 +363,7 @@
     private inner class StoreRegisteredHosts(address: InetSocketAddress) : DomainHosts {
         val peers = HostPeers(hostName, id, settings.domain, address, group) {
             budgets.frameReceived(it)
+            it.revisions?.let { told -> revisionsTold(it.host, told) }
         }
         private val registry = HostRegistry(
             hostName,
@@ -424,7 +449,9 @@
         override fun endpointInvalid(id: EndpointId) =
             applyEndpointChanges(directory.removeUnreadable(id))
 
-        override fun storeCallEnded(answered: Boolean, cause: String?) {
+        override val isReachable: Boolean get() = storeReachable
+
+        override fun callEnded(answered: Boolean, cause: String?) {
             if (answered) storeAnsweredAt = clock.now().elapsed
             storeReachabilityChanged(answered, cause)
         }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -10,6 +10,7 @@
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.budget.BudgetSettings
 import org.hemlockpond.core.entry.EntrySettings
+import org.hemlockpond.core.entry.StoreReaderSettings
 import org.hemlockpond.core.entry.TokenBrokerSettings
 import org.hemlockpond.core.entry.entryBudgetSettings
 
@@ -32,7 +33,8 @@
  * @property storeSilenceLimit how long the store may be silent before the host reports not ready; a
  *   watch answers every [watchPollTimeout]
  * @property storeTimeout the time after which a call to the store counts as unanswered
- * @property storeRetryDelay the delay before a read is retried when the store didn't answer
+ * @property storeRetryDelay the delay before a read is retried when the store didn't answer; doubles
+ *   with further failures
  * @property catchUpDelay the delay between two reads of the configuration while it changes faster than
  *   a watch delivers it
  * @property connectTimeout the time after which an endpoint counts as unreachable; the latency
@@ -71,5 +73,6 @@
     val tickInterval: Duration = 25.milliseconds,
     val entry: EntrySettings = EntrySettings(),
     val tokens: TokenBrokerSettings = TokenBrokerSettings(),
+    val reader: StoreReaderSettings = StoreReaderSettings(),
     val budget: BudgetSettings = entryBudgetSettings
 )
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -1,27 +1,20 @@
 /*
- * Watches the configuration, the endpoint list and the hosts' shared records in the store. Each is read
- * once and then watched; when a watch ends for any reason, the data is read again.
- *
- * A watch delivers every version of a key. A configuration can have hundreds of kilobytes, so a host
- * with a busy link would fall further behind with each of several quick changes. When several versions
- * arrive at once, the host reads the newest one until it has caught up, and then watches again.
+ * Follows the configuration, the endpoint list and the hosts' shared records in the store, and tells the
+ * other hosts of the failure domain of changes if this host watches the store for them.
  */
 package org.hemlockpond.router.entry
 
 import kotlin.time.Duration
 import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.catch
-import kotlinx.coroutines.flow.collect
-import kotlinx.coroutines.flow.takeWhile
-import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.entry.EntryConfig
+import org.hemlockpond.core.entry.HostName
 import org.hemlockpond.core.entry.ListedEndpoint
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.StoreReaderRole
+import org.hemlockpond.core.entry.StoreRevisions
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
 import org.hemlockpond.store.KeyValueStore
@@ -29,7 +22,7 @@
 import org.hemlockpond.store.StoreChange
 
 /** Receives what [FleetWatcher] reads from the store; all calls are on the event loop. */
-internal interface FleetListener {
+internal interface FleetListener : StoreContact {
     fun configReceived(config: EntryConfig, revision: Long)
 
     fun rolloutOrdered(order: RolloutOrder)
@@ -45,18 +38,29 @@
     fun endpointRemoved(id: EndpointId)
 
     fun endpointInvalid(id: EndpointId)
-
-    fun storeCallEnded(answered: Boolean, cause: String?)
 }
 
+/** @param send sends a message to the other hosts of the failure domain */
 internal class FleetWatcher(
-    private val store: KeyValueStore,
+    store: KeyValueStore,
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
     private val scope: CoroutineScope,
     private val sharedRecords: SharedRecords,
-    private val listener: FleetListener
+    private val role: StoreReaderRole,
+    private val listener: FleetListener,
+    private val send: (StoreRevisions) -> Unit,
+    private val now: () -> Duration
 ) {
+    private val operatorKeys =
+        PrefixWatch(store, settings, role, listener, OperatorKeys(), probes = false, now)
+    private val endpointList =
+        PrefixWatch(store, settings, role, listener, EndpointList(), probes = false, now)
+
+    /** The smallest of the prefixes serves as the probe. */
+    private val shared =
+        PrefixWatch(store, settings, role, listener, SharedKeys(), probes = true, now)
+    private val watches = listOf(operatorKeys, endpointList, shared)
     private val loggedInvalidKeys = HashSet<String>()
 
     /** The revision of each known roll-out order, by key. */
@@ -65,86 +69,62 @@
     /** The store's revision of the newest configuration that was read, valid or not. */
     private var configRevision = -1L
 
-    fun start() {
-        scope.launch {
-            readAndWatch(format.operatorPrefix, ::operatorKeysRead, ::operatorKeysChanged)
-        }
-        scope.launch {
-            readAndWatch(
-                format.endpointPrefix,
-                ::endpointsRead,
-                ::endpointsChanged,
-                pause = settings.endpointWatchPause
-            )
-        }
-        scope.launch {
-            readAndWatch(SharedRecords.PREFIX, ::sharedRecordsRead, ::sharedRecordsChanged)
-        }
-    }
+    /** The list as it was last read; null for entries that can't be decoded. */
+    private val listedEndpoints = HashMap<EndpointId, ListedEndpoint?>()
+    private var sharedRevisions: Map<String, Long> = emptyMap()
+    private var lastSent: StoreRevisions? = null
+    private var nextMessageAt = Duration.ZERO
 
-    /**
-     * @param onRead handles a complete read; returns whether it brought anything new, as far as that
-     *   matters to catch up
-     * @param onChanges handles the changes of a watch; returns whether this host is behind, so that
-     *   the prefix has to be read again
-     */
-    private suspend fun readAndWatch(
-        prefix: String,
-        onRead: (ReadResult.Values) -> Boolean,
-        onChanges: (List<StoreChange>) -> Boolean,
-        pause: Duration = Duration.ZERO
-    ) = coroutineScope {
-        var isBehind = false
-        while (isActive) {
-            val read = store.readPrefix(prefix)
-            val cause = (read as? ReadResult.Unavailable)?.cause
-            listener.storeCallEnded(cause == null, cause)
-            if (read !is ReadResult.Values) {
-                delay(settings.storeRetryDelay)
-                continue
-            }
-            isBehind = handled(prefix) { onRead(read) } && isBehind
-            if (isBehind) {
-                delay(settings.catchUpDelay)
-                continue
-            }
-            store.watch(prefix, read.revision + 1)
-                .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
-                .takeWhile { changes ->
-                    listener.storeCallEnded(true, null)
-                    isBehind = handled(prefix) { onChanges(changes) }
-                    delay(pause)
-                    !isBehind
-                }
-                .collect()
-        }
-    }
+    fun start() = watches.forEach { scope.launch { it.run() } }
 
-    /** An entry that causes an exception must not end the watch: the host would stop following it. */
-    private inline fun handled(prefix: String, handle: () -> Boolean): Boolean = try {
-        handle()
-    } catch (e: RuntimeException) {
-        log(LogEvent.CONTROL_FAILED, "prefix" to prefix, cause = e)
-        false
+    /** The host [from] watches the store and tells its [revisions]. */
+    fun revisionsTold(from: HostName, revisions: StoreRevisions) {
+        role.heard(from, now())
+        operatorKeys.revisionTold(revisions.operator)
+        endpointList.revisionTold(revisions.endpoints)
+        shared.revisionTold(revisions.shared)
     }
 
-    private fun operatorKeysRead(read: ReadResult.Values): Boolean {
-        val orders = read.values.filter { it.key.startsWith(format.rolloutPrefix) }
-        orders.forEach { reportRollout(it.value, it.revision, it.key) }
-        (rolloutRevisions.keys - orders.map { it.key }.toSet()).toList().forEach(::withdrawRollout)
-        return configRead(read)
+    /** Tells the other hosts at once of changes, and repeats it in case the message was lost. */
+    fun tick(endpointGrace: Duration) {
+        val now = now()
+        if (!role.isReader(now) || !listener.isReachable) return
+        if (watches.any { it.changedAt < 0 }) return
+        val next =
+            StoreRevisions(operatorKeys.changedAt, endpointList.changedAt, shared.changedAt)
+        if (next == lastSent && now < nextMessageAt) return
+        lastSent = next
+        nextMessageAt = now + settings.reader.messageInterval
+        send(next.copy(graceMillis = endpointGrace.inWholeMilliseconds))
     }
 
-    private fun operatorKeysChanged(changes: List<StoreChange>): Boolean {
-        for (change in changes.filter { it.key.startsWith(format.rolloutPrefix) }) {
-            val order = change.value
-            if (order == null) {
-                withdrawRollout(change.key)
-            } else {
-                reportRollout(order, change.revision, change.key)
+    private inner class OperatorKeys : PrefixListener {
+        override val prefix get() = format.operatorPrefix
+
+        override fun valuesRead(read: ReadResult.Values): Progress {
+            val orders = read.values.filter { it.key.startsWith(format.rolloutPrefix) }
+            val before = rolloutRevisions.toMap()
+            orders.forEach { reportRollout(it.value, it.revision, it.key) }
+            (before.keys - orders.map { it.key }.toSet()).forEach(::withdrawRollout)
+            val isNew = configRead(read) || before != rolloutRevisions
+            return if (isNew) Progress.CHANGED else Progress.UNCHANGED
+        }
+
+        override fun valuesChanged(changes: List<StoreChange>): Progress {
+            for (change in changes.filter { it.key.startsWith(format.rolloutPrefix) }) {
+                val order = change.value
+                if (order == null) {
+                    withdrawRollout(change.key)
+                } else {
+                    reportRollout(order, change.revision, change.key)
+                }
+            }
+            return when {
+                configChanged(changes) -> Progress.BEHIND
+                changes.isNotEmpty() -> Progress.CHANGED
+                else -> Progress.UNCHANGED
             }
         }
-        return configChanged(changes)
     }
 
     private fun withdrawRollout(key: String) {
@@ -202,27 +182,43 @@
         }
     }
 
-    private fun endpointsRead(read: ReadResult.Values): Boolean {
-        val entries = read.values.associate {
-            endpointId(it.key) to decode(it.key, it.value, it.revision)
+    private inner class EndpointList : PrefixListener {
+        override val prefix get() = format.endpointPrefix
+        override val pause get() = settings.endpointWatchPause
+
+        override fun valuesRead(read: ReadResult.Values): Progress {
+            val entries = read.values.associate {
+                endpointId(it.key) to decode(it.key, it.value, it.revision)
+            }
+            listener.endpointsListed(entries.values.filterNotNull())
+            entries.filterValues { it == null }.keys.forEach { listener.endpointInvalid(it) }
+            if (entries == listedEndpoints) return Progress.UNCHANGED
+            listedEndpoints.clear()
+            listedEndpoints += entries
+            return Progress.CHANGED
         }
-        listener.endpointsListed(entries.values.filterNotNull())
-        entries.filterValues { it == null }.keys.forEach { listener.endpointInvalid(it) }
-        return false
-    }
 
-    private fun endpointsChanged(changes: List<StoreChange>): Boolean {
-        for (change in changes) {
-            val id = endpointId(change.key)
-            val text = change.value
-            if (text == null) {
-                listener.endpointRemoved(id)
-            } else {
-                decode(change.key, text, change.revision)?.let { listener.endpointChanged(it) }
-                    ?: listener.endpointInvalid(id)
+        override fun valuesChanged(changes: List<StoreChange>): Progress {
+            val before = listedEndpoints.toMap()
+            for (change in changes) {
+                val id = endpointId(change.key)
+                val text = change.value
+                if (text == null) {
+                    listedEndpoints -= id
+                    listener.endpointRemoved(id)
+                } else {
+                    val entry = decode(change.key, text, change.revision)
+                    listedEndpoints[id] = entry
+                    if (entry == null) {
+                        listener.endpointInvalid(id)
+                    } else {
+                        listener.endpointChanged(entry)
+                    }
+                }
             }
+            // Most changes are heartbeats, which change nothing that hosts use.
+            return if (before == listedEndpoints) Progress.UNCHANGED else Progress.CHANGED
         }
-        return false
     }
 
     private fun endpointId(key: String) = EndpointId(key.removePrefix(format.endpointPrefix))
@@ -248,14 +244,24 @@
             }
         }
 
-    private fun sharedRecordsRead(read: ReadResult.Values): Boolean {
-        sharedRecords.applyAll(read.values)
-        return false
-    }
+    private inner class SharedKeys : PrefixListener {
+        override val prefix get() = SharedRecords.PREFIX
 
-    private fun sharedRecordsChanged(changes: List<StoreChange>): Boolean {
-        sharedRecords.apply(changes)
-        return false
+        override fun valuesRead(read: ReadResult.Values): Progress {
+            sharedRecords.applyAll(read.values)
+            val revisions = read.values.associate { it.key to it.revision }
+            if (revisions == sharedRevisions) return Progress.UNCHANGED
+            sharedRevisions = revisions
+            return Progress.CHANGED
+        }
+
+        override fun valuesChanged(changes: List<StoreChange>): Progress {
+            sharedRecords.apply(changes)
+            val (present, deleted) = changes.partition { it.value != null }
+            sharedRevisions = sharedRevisions + present.associate { it.key to it.revision } -
+                deleted.map { it.key }.toSet()
+            return if (changes.isEmpty()) Progress.UNCHANGED else Progress.CHANGED
+        }
     }
 
     private companion object {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostPeers.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostPeers.kt
@@ -24,6 +24,7 @@
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.entry.HostName
+import org.hemlockpond.core.entry.StoreRevisions
 import org.hemlockpond.core.entry.TokenMessage
 
 /**
@@ -32,6 +33,7 @@
  * @property version the version of the protocol; a host ignores versions that it doesn't know
  * @property to the intended receiver, as an address may have been another host's before
  * @property message null announces the sender
+ * @property revisions what the sender has seen in the store, if it watches the store for others
  */
 @Serializable
 internal data class PeerFrame(
@@ -40,6 +42,7 @@
     val domain: FailureDomain,
     val to: HostName,
     val message: TokenMessage? = null,
+    val revisions: StoreRevisions? = null,
     val version: Int = VERSION
 ) {
     companion object {
@@ -141,10 +144,15 @@
     /** Announces this host to all that are known. */
     fun announce() = addresses.keys.forEach { send(it, message = null) }
 
+    /** Tells all hosts that are known what this one has seen in the store. */
+    fun tell(revisions: StoreRevisions) =
+        addresses.keys.forEach { send(it, message = null, revisions) }
+
     /** Sends [message] to [host] if its address is known. */
-    fun send(host: HostName, message: TokenMessage?) {
+    fun send(host: HostName, message: TokenMessage?, revisions: StoreRevisions? = null) {
         val to = addresses[host] ?: return
-        val sealed = seal?.seal(PeerFrame(self, run, domain, host, message)) ?: return
+        val frame = PeerFrame(self, run, domain, host, message, revisions)
+        val sealed = seal?.seal(frame) ?: return
         sent++
         channel.writeAndFlush(DatagramPacket(Unpooled.wrappedBuffer(sealed), to))
     }
--- /dev/null
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/PrefixWatch.kt
@@ -0,0 +1,168 @@
+/*
+ * Follows the keys under one prefix of the store. The host that watches the store for its failure
+ * domain reads the prefix once and then watches it; when a watch ends for any reason, it is read again.
+ * The other hosts read it when they are told of a newer revision.
+ *
+ * A watch delivers every version of a key. A configuration can have hundreds of kilobytes, so a host
+ * with a busy link would fall further behind with each of several quick changes. When several versions
+ * arrive at once, the host reads the newest one until it has caught up, and then watches again.
+ */
+package org.hemlockpond.router.entry
+
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.catch
+import kotlinx.coroutines.flow.collect
+import kotlinx.coroutines.flow.takeWhile
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hemlockpond.core.entry.StoreReaderRole
+import org.hemlockpond.router.LogEvent
+import org.hemlockpond.router.log
+import org.hemlockpond.store.KeyValueStore
+import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.StoreChange
+
+/** What a read or a watch has brought. */
+internal enum class Progress {
+    UNCHANGED,
+    CHANGED,
+
+    /** Several versions of a key came at once, so that the prefix has to be read again. */
+    BEHIND
+}
+
+/** Applies what is stored under [prefix]; all calls are on the event loop. */
+internal interface PrefixListener {
+    val prefix: String
+
+    /** The delay between two calls of a watch. */
+    val pause: Duration get() = Duration.ZERO
+
+    fun valuesRead(read: ReadResult.Values): Progress
+
+    fun valuesChanged(changes: List<StoreChange>): Progress
+}
+
+/** Whether the store answers this host. */
+internal interface StoreContact {
+    val isReachable: Boolean
+
+    fun callEnded(answered: Boolean, cause: String?)
+}
+
+/**
+ * @param probes whether this prefix is read to find out whether a lost store answers again
+ * @param now returns the time of the router's clock
+ */
+internal class PrefixWatch(
+    private val store: KeyValueStore,
+    private val settings: EntryRouterSettings,
+    private val role: StoreReaderRole,
+    private val contact: StoreContact,
+    private val listener: PrefixListener,
+    private val probes: Boolean,
+    private val now: () -> Duration
+) {
+    private val prefix = listener.prefix
+    private val wakeUp = Channel<Unit>(Channel.CONFLATED)
+    private var toldRevision = -1L
+    private var readRevision = -1L
+    private var isBehind = false
+    private var failures = 0
+    private var retryAt = -Duration.INFINITE
+
+    /** The store's revision by which the last change was seen; negative before the first read. */
+    var changedAt = -1L
+        private set
+
+    /** The reader of the failure domain has seen a change by [revision]. */
+    fun revisionTold(revision: Long) {
+        toldRevision = maxOf(toldRevision, revision)
+        wakeUp.trySend(Unit)
+    }
+
+    suspend fun run() = coroutineScope {
+        while (isActive) {
+            awaitTurn()
+            val read = store.readPrefix(prefix)
+            callEnded((read as? ReadResult.Unavailable)?.cause)
+            if (read !is ReadResult.Values) continue
+            val progress = handled { listener.valuesRead(read) }
+            readRevision = read.revision
+            // A revision that the store doesn't have must not be looked for without end.
+            toldRevision = minOf(toldRevision, readRevision)
+            if (changedAt < 0 || progress != Progress.UNCHANGED) changedAt = read.revision
+            isBehind = isBehind && progress != Progress.UNCHANGED
+            if (isBehind) {
+                delay(settings.catchUpDelay)
+            } else if (!role.isFollowing(now())) {
+                watch(read.revision + 1)
+            }
+        }
+    }
+
+    private suspend fun watch(fromRevision: Long) = store.watch(prefix, fromRevision)
+        .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
+        .takeWhile { changes ->
+            callEnded(failure = null)
+            val progress = handled { listener.valuesChanged(changes) }
+            changes.lastOrNull()?.let { readRevision = maxOf(readRevision, it.revision) }
+            if (progress != Progress.UNCHANGED) changedAt = maxOf(changedAt, readRevision)
+            isBehind = progress == Progress.BEHIND
+            delay(listener.pause)
+            !isBehind && !role.isFollowing(now())
+        }
+        .collect()
+
+    private fun callEnded(failure: String?) {
+        if (failure == null) {
+            role.answered()
+            failures = 0
+            retryAt = -Duration.INFINITE
+        } else {
+            role.unanswered(now())
+            retryAt =
+                now() + settings.storeRetryDelay * (1 shl failures.coerceAtMost(MAX_DOUBLINGS))
+            failures++
+        }
+        contact.callEnded(failure == null, failure)
+    }
+
+    private suspend fun awaitTurn() {
+        while (true) {
+            val wait = nextReadAt() - now()
+            if (wait <= Duration.ZERO) return
+            withTimeoutOrNull(wait.coerceAtMost(MAX_WAIT)) { wakeUp.receive() }
+        }
+    }
+
+    private fun nextReadAt(): Duration {
+        val now = now()
+        val isProbe = probes && !contact.isReachable
+        return when {
+            readRevision < 0 || isBehind -> retryAt
+            role.isFollowing(now) && (toldRevision > readRevision || isProbe) -> retryAt
+            !role.isFollowing(now) && !contact.isReachable && !isProbe -> now + MAX_WAIT
+            else -> maxOf(role.readAt(now), retryAt)
+        }
+    }
+
+    /** An entry that causes an exception must not end the watch: the host would stop following it. */
+    private inline fun handled(handle: () -> Progress): Progress = try {
+        handle()
+    } catch (e: RuntimeException) {
+        log(LogEvent.CONTROL_FAILED, "prefix" to prefix, cause = e)
+        Progress.UNCHANGED
+    }
+
+    private companion object {
+        const val MAX_DOUBLINGS = 3
+
+        /** The longest wait before the roles of the hosts are looked at again. */
+        val MAX_WAIT = 250.milliseconds
+    }
+}
--- /dev/null
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/FleetSimulation.kt
@@ -0,0 +1,380 @@
+package org.hemlockpond.router.entry
+
+import java.net.InetSocketAddress
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.time.Duration
+import kotlin.time.Duration.Companion.milliseconds
+import kotlin.time.Duration.Companion.seconds
+import kotlin.time.Instant
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.hemlockpond.core.CustomerId
+import org.hemlockpond.core.EndpointId
+import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.FailureDomain
+import org.hemlockpond.core.Now
+import org.hemlockpond.core.RequestId
+import org.hemlockpond.core.RouterId
+import org.hemlockpond.core.VersionId
+import org.hemlockpond.core.entry.CallerLimits
+import org.hemlockpond.core.entry.CrashReport
+import org.hemlockpond.core.entry.EndpointLimits
+import org.hemlockpond.core.entry.EntryConfig
+import org.hemlockpond.core.entry.EntryCustomer
+import org.hemlockpond.core.entry.HostName
+import org.hemlockpond.core.entry.ListedEndpoint
+import org.hemlockpond.core.entry.RolloutOrder
+import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.StoreReaderRole
+import org.hemlockpond.core.entry.StoreRevisions
+import org.hemlockpond.core.entry.Suspect
+import org.hemlockpond.core.entry.TokenAction
+import org.hemlockpond.core.entry.TokenBroker
+import org.hemlockpond.core.entry.TokenBrokerSettings
+import org.hemlockpond.core.entry.domainBudgetSettings
+
+/**
+ * The shape of a simulated fleet.
+ *
+ * @property homeGroups see [TokenBrokerSettings.homeGroups]
+ * @property sharesWatches whether one host of each domain watches the store for the others
+ */
+internal data class FleetShape(
+    val hosts: Int,
+    val domains: Int = 5,
+    val customers: Int = 40,
+    val homeGroups: Int = TokenBrokerSettings().homeGroups,
+    val sharesWatches: Boolean = true
+)
+
+/**
+ * The state that entry hosts share through the store, in virtual time: the components of real routers
+ * over a simulated store and simulated datagrams. Requests only reserve and settle tokens.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class FleetSimulation(private val shape: FleetShape, seed: Int = 1) {
+    private val scheduler = TestCoroutineScheduler()
+    private val dispatcher = StandardTestDispatcher(scheduler)
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
+    private val random = Random(seed)
+    private val weights = List(shape.customers) { 1.0 / (1 + it) }
+    private val prepaid = weights.map {
+        (it / weights.sum() * shape.hosts * TOKENS_OF_A_HOST).toLong()
+    }
+    private val unspent = prepaid.toLongArray()
+
+    /** A configuration's text is its version; an endpoint's is its name. */
+    private val format = object : FleetFormat {
+        override val configKey = "op/config"
+        override val operatorPrefix = "op/"
+        override val rolloutPrefix = "op/rollout/"
+        override val endpointPrefix = "servers/"
+
+        override fun parseConfig(text: String): Decoded<EntryConfig> {
+            val limits = CallerLimits(1_000, 1_000, 1.seconds, 1.seconds)
+            val customers = prepaid.mapIndexed { i, tokens ->
+                EntryCustomer(CustomerId("c$i"), emptyList(), null, tokens)
+            }
+            val config = EntryConfig(text.toLong(), emptyList(), emptyList(), limits, customers)
+            return Decoded.Value(config)
+        }
+
+        override fun parseEndpoint(id: EndpointId, text: String): Decoded<ListedEndpoint> =
+            Decoded.Value(
+                ListedEndpoint(
+                    id = id,
+                    service = ServiceId("s"),
+                    host = "127.0.0.1",
+                    port = 1,
+                    domain = FailureDomain("d"),
+                    version = VersionId("v"),
+                    slots = 1,
+                    leaving = false,
+                    startedMillis = 1
+                )
+            )
+
+        override fun parseRollout(text: String) = Decoded.Invalid("no roll-outs")
+
+        override fun rolloutStatusKey(service: ServiceId) = "status/$service"
+
+        override fun endsRollout(order: RolloutOrder, status: String) = true
+
+        override fun encodeRollback(order: RolloutOrder) = ""
+    }
+
+    val store = SimulatedStore { elapsed() }
+    private val hosts = List(shape.hosts) { Host(it) }
+    private var nextRequest = 0
+    private var configVersion = 0
+
+    var requests = 0
+        private set
+
+    /** Requests that were refused although the customer had tokens for them. */
+    var needlessRefusals = 0
+        private set
+
+    /** The longest time from a configuration's write until all connected hosts had it. */
+    var slowestConfig = Duration.ZERO
+        private set
+
+    private fun elapsed() = scheduler.currentTime.milliseconds
+
+    private fun now() = Now(elapsed(), Instant.fromEpochMilliseconds(scheduler.currentTime))
+
+    private fun putConfig() {
+        configVersion++
+        store.put(format.configKey, "$configVersion")
+        val version = configVersion.toLong()
+        val start = elapsed()
+        scope.launch {
+            while (hosts.any { it.configVersion < version }) delay(TICK)
+            slowestConfig = maxOf(slowestConfig, elapsed() - start)
+        }
+    }
+
+    /** Plays a start, traffic with two cuts of all hosts from the store, and three configurations. */
+    fun play() {
+        repeat(ENDPOINTS) { store.put("${format.endpointPrefix}e$it", "e$it") }
+        putConfig()
+        hosts.forEach { it.start() }
+        scope.launch {
+            while (isActive) {
+                delay(HEARTBEAT)
+                store.put("${format.endpointPrefix}e0", "e0")
+            }
+        }
+        scope.launch {
+            delay(LEAD)
+            val traffic = launch { requestArrivals() }
+            delay(5.seconds)
+            cut(7_400.milliseconds)
+            delay(4.seconds)
+            putConfig()
+            delay(5.seconds)
+            putConfig()
+            delay(2_500.milliseconds)
+            cut(8.seconds)
+            delay(2.seconds)
+            traffic.cancel()
+        }
+        scheduler.advanceTimeBy(DAY.inWholeMilliseconds)
+        scope.cancel()
+    }
+
+    private suspend fun cut(span: Duration) {
+        hosts.forEach { it.client.connected = false }
+        delay(span)
+        hosts.forEach { it.client.connected = true }
+    }
+
+    private suspend fun requestArrivals() {
+        while (true) {
+            delay(1.seconds * (exponential() / (REQUESTS_OF_A_HOST * shape.hosts)))
+            val weight = random.nextDouble() * weights.sum()
+            var sum = 0.0
+            val customer = weights.indexOfFirst {
+                sum += it
+                sum >= weight
+            }.coerceAtLeast(0)
+            val isLong = random.nextInt(100) < LONG_PERCENT
+            val tokens = if (isLong) LONG_TOKENS else SHORT_TOKENS
+            hosts.random(random).request(customer, (tokens * (0.3 + exponential())).toLong() + 1)
+        }
+    }
+
+    private fun exponential(): Double = -ln(1 - random.nextDouble())
+
+    private inner class Host(number: Int) : BudgetListener {
+        val name = HostName("edge-$number")
+        private val id = RouterId("$name/run")
+        val domain = FailureDomain("domain-${number % shape.domains}")
+        private val address = InetSocketAddress("127.0.0.1", 1)
+        private val settings = EntryRouterSettings(
+            host = name.value,
+            domain = domain,
+            callerAddress = address,
+            readinessAddress = address,
+            metricsAddress = address,
+            storeAddress = address,
+            watchPollTimeout = 3_250.milliseconds,
+            endpointWatchPause = 2.seconds,
+            storeSilenceLimit = 3.seconds,
+            tokens = TokenBrokerSettings(homeGroups = shape.homeGroups),
+            budget = domainBudgetSettings(shape.domains)
+        )
+        val client = store.Client(settings)
+        private val broker = TokenBroker(name, settings.tokens, Random(number))
+        private val role = StoreReaderRole(name, settings.reader) {
+            if (shape.sharesWatches) broker.hosts else emptySet()
+        }
+        private val budgets = DomainBudgets(broker, Datagrams(), ::now, this) { listener ->
+            val marks = HostMarks(id, name.value, client, ::now, Machine())
+            EntryBudgets(id, domain, settings.budget, client, scope, ::now, marks, listener)
+        }
+        private val fleet = FleetEvents()
+        private val crashes = CrashRecords(id, client, settings, scope, ::now, fleet)
+        private val limits = LimitRecords(id, client, settings, scope, ::now, EndpointLimits())
+        private val watcher: FleetWatcher = FleetWatcher(
+            client,
+            format,
+            settings,
+            scope,
+            SharedRecords(crashes, limits),
+            role,
+            fleet,
+            send = { revisions -> if (shape.sharesWatches) tellOthers(revisions) },
+            now = ::elapsed
+        )
+        private val open = HashMap<RequestId, Pair<Int, Long>>()
+        private var answeredAt = Duration.ZERO
+        private var isReachable = true
+        var configVersion = 0L
+            private set
+        private val others get() = hosts.filter { it.domain == domain && it !== this }
+
+        fun start() {
+            scope.launch {
+                delay(random.nextInt(300).milliseconds)
+                budgets.start()
+                watcher.start()
+                while (isActive) {
+                    delay(TICK)
+                    if (elapsed() - answeredAt > settings.storeSilenceLimit) reachable(false)
+                    budgets.tick()
+                    watcher.tick(Duration.ZERO)
+                }
+            }
+        }
+
+        private fun reachable(next: Boolean) {
+            budgets.storeReachabilityChanged(next)
+            isReachable = next
+        }
+
+        private fun tellOthers(revisions: StoreRevisions) = others.forEach { other ->
+            scope.launch {
+                delay(DATAGRAM)
+                other.watcher.revisionsTold(name, revisions)
+                if (other.role.isFollowing(elapsed())) other.answeredAt = elapsed()
+            }
+        }
+
+        fun request(customer: Int, tokens: Long) {
+            val request = RequestId("r${nextRequest++}")
+            requests++
+            unspent[customer] -= tokens
+            open[request] = customer to tokens
+            budgets.reserve(request, CustomerId("c$customer"), tokens, REQUEST_LIMIT)
+        }
+
+        override fun reserved(request: RequestId) {
+            scope.launch {
+                delay(REQUEST_TIME)
+                val (customer, tokens) = open.remove(request) ?: return@launch
+                val used = tokens * 9 / 10
+                unspent[customer] += tokens - used
+                budgets.settle(request, used)
+            }
+        }
+
+        override fun refused(request: RequestId, kind: ErrorKind) {
+            val (customer, tokens) = open.remove(request) ?: return
+            if (unspent[customer] >= 0) needlessRefusals++
+            unspent[customer] += tokens
+            budgets.settle(request, 0)
+        }
+
+        override fun fenced() = error("fenced")
+
+        override fun drained() = Unit
+
+        private inner class Datagrams : DomainHosts {
+            override fun start(found: (Set<HostName>) -> Unit) {
+                scope.launch {
+                    repeat(REGISTRATION_CALLS) { client.read("hemlockpond/hosts/$name") }
+                    found(others.mapTo(HashSet()) { it.name })
+                }
+            }
+
+            override fun send(action: TokenAction.Send) {
+                val to = others.first { it.name == action.to }
+                scope.launch {
+                    delay(DATAGRAM)
+                    to.budgets.frameReceived(PeerFrame(name, id, domain, to.name, action.message))
+                }
+            }
+
+            override fun announce() = Unit
+        }
+
+        private inner class FleetEvents :
+            FleetListener,
+            CrashListener {
+            override val isReachable get() = this@Host.isReachable
+
+            override fun callEnded(answered: Boolean, cause: String?) {
+                if (answered) answeredAt = elapsed()
+                reachable(answered)
+            }
+
+            override fun configReceived(config: EntryConfig, revision: Long) {
+                configVersion = config.version
+                budgets.configChanged(config)
+            }
+
+            override fun rolloutOrdered(order: RolloutOrder) = Unit
+
+            override fun rolloutWithdrawn(service: ServiceId) = Unit
+
+            override fun endpointsListed(entries: List<ListedEndpoint>) = Unit
+
+            override fun endpointChanged(entry: ListedEndpoint) = Unit
+
+            override fun endpointRemoved(id: EndpointId) = Unit
+
+            override fun endpointInvalid(id: EndpointId) = Unit
+
+            override fun crashReported(report: CrashReport) = Unit
+
+            override fun suspectsCleared(service: ServiceId, suspects: List<Suspect>) = Unit
+        }
+    }
+
+    private inner class Machine : MachineClock {
+        override val bootId = "boot"
+
+        override fun steadyMillis() = scheduler.currentTime
+
+        override fun wallMillis() = scheduler.currentTime
+    }
+
+    private companion object {
+        val LEAD = 19.seconds
+        val DAY = 58.seconds
+        val TICK = 25.milliseconds
+        val DATAGRAM = 1.milliseconds
+        val HEARTBEAT = 100.milliseconds
+        val REQUEST_TIME = 1_500.milliseconds
+        val REQUEST_LIMIT = 15.seconds
+        const val ENDPOINTS = 42
+        const val REGISTRATION_CALLS = 4
+        const val REQUESTS_OF_A_HOST = 4.5
+        const val LONG_PERCENT = 23
+        const val LONG_TOKENS = 12_400.0
+        const val SHORT_TOKENS = 1_500.0
+
+        /** Prepaid tokens for each host: 1.3 times the expected demand of 34 s. */
+        const val TOKENS_OF_A_HOST =
+            1.3 * 34 * REQUESTS_OF_A_HOST * 1.3 * (0.23 * LONG_TOKENS + 0.77 * SHORT_TOKENS)
+    }
+}
