--- a/router/src/test/kotlin/org/hemlockpond/router/entry/FleetStoreCallsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/FleetStoreCallsTest.kt
@@ -8,25 +8,13 @@
 class FleetStoreCallsTest {
     private fun play(shape: FleetShape) = FleetSimulation(shape).apply { play() }
 
-    private fun row(name: String, shape: FleetShape, played: FleetSimulation): String {
-        val refused = played.needlessRefusals.toDouble() / played.requests
-        val calls = played.store.calls.values.sum()
-        return "| %d | %s | %d | %.3f | %s | %s |".format(
-            shape.hosts,
-            name,
-            calls,
-            refused,
-            played.slowestConfig,
-            played.store.calls.entries.joinToString { "${it.key} ${it.value}" }
-        )
-    }
+    private val FleetSimulation.allCalls get() = store.calls.values.sum()
 
     /** Guards against calls that grow with the number of hosts, and against needless refusals. */
     @Test
     fun callsGrowWithDomainsRatherThanHosts() {
         val sizes = listOf(95, 300).associateWith { play(FleetShape(it)) }
-        for ((size, played) in sizes) println(row("shared", FleetShape(size), played))
-        val calls = sizes.mapValues { it.value.store.calls.values.sum() }
+        val calls = sizes.mapValues { it.value.allCalls }
         assertTrue(calls.getValue(95) <= 4_000, "$calls")
         assertTrue(calls.getValue(300) <= 3 * calls.getValue(95), "$calls")
         for ((size, played) in sizes) {
@@ -35,4 +23,12 @@
             assertTrue(played.slowestConfig <= 4.seconds, "$size hosts: ${played.slowestConfig}")
         }
     }
+
+    /** Guards against a test that passes whatever the hosts share. */
+    @Test
+    fun hostsThatShareLessMakeSeveralTimesTheCalls() {
+        val shared = play(FleetShape(hosts = 40)).allCalls
+        val alone = play(FleetShape(hosts = 40, homeGroups = 1_000, sharesWatches = false)).allCalls
+        assertTrue(alone >= 2 * shared, "$shared calls, $alone alone")
+    }
 }
