Drop requests of callers that left while the event loop was late

The event loop reads a connection's request before the close that follows it, and sent the request at once.

Change: while the loop is more than 200 ms late, a request is handled after the loop has read all connections again.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -33,6 +33,9 @@
 internal interface CallerListener {
     /** Whether connections close after their current request. */
     val isClosing: Boolean
+
+    /** Whether the event loop is so late that callers may have left meanwhile. */
+    val isLoopLate: Boolean
     val maxBodyBytes: Int
 
     /** How long a connection may stay open without a request. */
@@ -163,7 +166,28 @@
     private fun handle(next: Incoming) {
         isAnswering = true
         keepAlive = HttpUtil.isKeepAlive(next.request)
-        listener.requestReceived(this, next.request, next.body, next.headReadAt)
+        if (listener.isLoopLate) {
+            handleAfterNextRead(next)
+        } else {
+            listener.requestReceived(this, next.request, next.body, next.headReadAt)
+        }
+    }
+
+    /**
+     * Handles a request once the event loop has read all connections again. After a long pause the
+     * loop reads old requests before it reads that their callers have left.
+     */
+    private fun handleAfterNextRead(next: Incoming) {
+        val loop = channel.eventLoop()
+        val handle = {
+            if (channel.isActive) {
+                listener.requestReceived(this, next.request, next.body, next.headReadAt)
+            } else {
+                next.body.release()
+            }
+        }
+        // A scheduled task that a task adds is run after the next read, even without a delay.
+        loop.execute { loop.schedule({ handle() }, 0, TimeUnit.MILLISECONDS) }
     }
 
     /** Whether the connection closes after the current answer. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -124,6 +124,7 @@
     private var endpointListRead = false
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
+    private var tickedAt = Duration.ZERO
     private var stopping = false
     private var returningTokens = false
     private var tokensReturned = false
@@ -223,6 +224,7 @@
 
     private fun tick() {
         val now = clock.now().elapsed
+        tickedAt = now
         // A watch that is cut off ends only after its wait.
         if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
         budgets.tick()
@@ -459,6 +461,7 @@
 
     private inner class CallerEvents : CallerListener {
         override val isClosing: Boolean get() = stopping || isCutOffFromStore
+        override val isLoopLate: Boolean get() = now() - tickedAt > settings.lateLoopLimit
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
         override val idleTimeout: Duration get() = callerIdleTimeout.longest(now())
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -46,6 +46,9 @@
  * @property idleTimeoutMargin how long before the endpoint's own timeout an idle connection expires
  * @property claimInterval the interval at which this host's claims of endpoint limits are brought up to
  *   date, while there are any
+ * @property lateLoopLimit how late the event loop may be before requests wait until their callers'
+ *   connections have been read again; well below the half second after which a caller that left must
+ *   cause no work
  * @property tickInterval the interval of the timer for decisions that depend only on time
  */
 data class EntryRouterSettings(
@@ -70,6 +73,7 @@
     val idleConnectionTimeout: Duration = 4.seconds,
     val idleTimeoutMargin: Duration = 400.milliseconds,
     val claimInterval: Duration = 200.milliseconds,
+    val lateLoopLimit: Duration = 200.milliseconds,
     val tickInterval: Duration = 25.milliseconds,
     val entry: EntrySettings = EntrySettings(),
     val tokens: TokenBrokerSettings = TokenBrokerSettings(),
