Ask the next home for tokens if the first one has lost the store

Change: a home that has lost the store says so when it refuses, and the asking host asks the next one, once.

Result: TokenBrokerTest.nextHomeIsAskedIfTheFirstIsCutOffFromTheStore and requestIsRefusedSoonIfAllHostsAreCutOff. They don't compile with the code before, so they were not run there.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
@@ -8,7 +8,8 @@
  *
  * A home charges a reservation in full unless it is told the use in time, so lost messages and lost
  * hosts never let a customer spend more than it paid. A host that gets no answer passes its home over,
- * asks the next one and finally uses a slice of its own.
+ * asks the next one and finally uses a slice of its own. A home that has lost the store and has too few
+ * tokens says so, and the next one is asked, which may still reach the store.
  */
 package org.hemlockpond.core.entry
 
@@ -187,21 +188,45 @@
         }
     }
 
-    /** This host's slice doesn't cover [key]. */
-    fun refusedLocally(key: RequestId, kind: ErrorKind, now: Duration): List<TokenAction> =
-        collect {
-            val heldKey = heldByKey.remove(key)
-            if (heldKey == null) {
-                val request = ownRequest(key)
-                if (request != null && wanted.remove(request) != null) {
-                    actions += TokenAction.Refused(request, kind)
+    /**
+     * This host's slice doesn't cover [key].
+     *
+     * @param isCutOff whether this host has lost the store
+     */
+    fun refusedLocally(
+        key: RequestId,
+        kind: ErrorKind,
+        isCutOff: Boolean,
+        now: Duration
+    ): List<TokenAction> = collect {
+        val heldKey = heldByKey.remove(key)
+        if (heldKey == null) {
+            ownRequest(key)?.let { wanted[it] }?.let { waiting ->
+                if (!askedAnother(waiting, kind, isCutOff, now)) {
+                    wanted -= waiting.request
+                    actions += TokenAction.Refused(waiting.request, kind)
                 }
-            } else {
-                val reservation = held.remove(heldKey)!!
-                ended[heldKey] = now + settings.holdMargin
-                send(reservation.to, TokenMessage.Refused(heldKey.ask, kind))
             }
+        } else {
+            val reservation = held.remove(heldKey)!!
+            ended[heldKey] = now + settings.holdMargin
+            send(reservation.to, TokenMessage.Refused(heldKey.ask, kind, isCutOff))
         }
+    }
+
+    /** Asks the next home if the last one lacked tokens because it has lost the store. */
+    private fun askedAnother(
+        waiting: Wanted,
+        kind: ErrorKind,
+        isCutOff: Boolean,
+        now: Duration
+    ): Boolean {
+        val mayHelp = isCutOff && kind == ErrorKind.BUDGET_UNREACHABLE &&
+            waiting.asked.size < settings.homesAsked &&
+            homes.order(waiting.customer, now).any { it !in waiting.asked }
+        if (mayHelp) askNext(waiting, now)
+        return mayHelp
+    }
 
     /** Handles a message of the run [from] of the host [host]. */
     fun received(
@@ -284,7 +309,7 @@
         if (message.kind == ErrorKind.ROUTER_STOPPING) {
             homes.silent(host, now)
             askNext(waiting, now)
-        } else {
+        } else if (!askedAnother(waiting, message.kind, message.isCutOff, now)) {
             wanted -= waiting.request
             actions += TokenAction.Refused(waiting.request, message.kind, host, message.ask)
         }
@@ -295,6 +320,7 @@
         val home = homes.order(next.customer, now).firstOrNull { it !in next.asked }
         if (home == null || home == self || next.asked.size >= settings.homesAsked) {
             next.home = null
+            next.asked += self
             actions +=
                 TokenAction.ReserveLocally(ownKey(next.request), next.customer, next.tokens)
             return
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenMessage.kt
@@ -43,10 +43,15 @@
     @SerialName("reserved")
     data class Reserved(override val ask: Long) : TokenMessage
 
-    /** No tokens are reserved. */
+    /**
+     * No tokens are reserved.
+     *
+     * @property isCutOff whether the home has lost the store, so that another host may still get tokens
+     */
     @Serializable
     @SerialName("refused")
-    data class Refused(override val ask: Long, val kind: ErrorKind) : TokenMessage
+    data class Refused(override val ask: Long, val kind: ErrorKind, val isCutOff: Boolean = false) :
+        TokenMessage
 
     /** The request has ended or goes elsewhere; it used [used] tokens of the reservation. */
     @Serializable
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
@@ -103,6 +103,30 @@
         assertEquals(listOf("r" to ErrorKind.BUDGET_EXHAUSTED), other.refused)
     }
 
+    /** Guards against refusals by a home that has lost the store while other hosts reach it. */
+    @Test
+    fun nextHomeIsAskedIfTheFirstIsCutOffFromTheStore() {
+        net.hosts.forEach { it.free = 100 }
+        home.free = 10
+        home.isCutOff = true
+        other.reserve("r", customer, 60)
+        home.reserve("r2", customer, 30)
+        net.run(50.milliseconds)
+        assertEquals(listOf("r"), other.reserved)
+        assertEquals(listOf("r2"), home.reserved)
+    }
+
+    /** Guards against requests that go from host to host while all have lost the store. */
+    @Test
+    fun requestIsRefusedSoonIfAllHostsAreCutOff() {
+        net.hosts.forEach { it.isCutOff = true }
+        other.reserve("r", customer, 60)
+        home.reserve("r2", customer, 30)
+        net.run(20.milliseconds)
+        assertEquals(listOf("r" to ErrorKind.BUDGET_UNREACHABLE), other.refused)
+        assertEquals(listOf("r2" to ErrorKind.BUDGET_UNREACHABLE), home.refused)
+    }
+
     /** Guards against store calls of every host: each home writes slices and spend marks. */
     @Test
     fun fewHostsOfALargeDomainAreHomes() {
@@ -158,6 +182,9 @@
                         .forEach { h.settle(it, random.nextLong(0, 101)) }
                 }
                 if (random.nextInt(20) == 0) faulty.hosts.random(random).isUp = random.nextBoolean()
+                if (random.nextInt(20) == 0) {
+                    faulty.hosts.random(random).isCutOff = random.nextBoolean()
+                }
             }
             faulty.hosts.forEach { it.isUp = true }
             faulty.hosts.forEach { h -> h.open().forEach { h.settle(it, 100) } }
@@ -218,7 +245,10 @@
                 val run = RouterId("${d.from.name}/run")
                 d.to.perform(d.to.broker.received(d.from.name, run, d.message, now))
             }
-            hosts.filter { it.isUp }.forEach { it.perform(it.broker.tick(now)) }
+            hosts.filter { it.isUp }.forEach {
+                it.reserveDue()
+                it.perform(it.broker.tick(now))
+            }
         }
     }
 
@@ -226,6 +256,13 @@
         val name = HostName(name)
         val broker = TokenBroker(this.name, random = Random(seed))
         var isUp = true
+
+        /** Whether the host has lost the store. */
+        var isCutOff = false
+
+        /** How long the host waits for tokens from the store. */
+        var localDelay = Duration.ZERO
+        private val slowReservations = ArrayList<Pair<Duration, TokenAction.ReserveLocally>>()
         var free = 0L
         var charged = 0L
         var used = 0L
@@ -273,8 +310,21 @@
 
         private fun reserveLocally(action: TokenAction.ReserveLocally) {
             localKeys += action.key
+            slowReservations += now + localDelay to action
+            if (localDelay == Duration.ZERO) reserveDue()
+        }
+
+        fun reserveDue() {
+            val due = slowReservations.filter { it.first <= now }
+            slowReservations.removeAll(due)
+            due.forEach { decide(it.second) }
+        }
+
+        private fun decide(action: TokenAction.ReserveLocally) {
             if (action.tokens > free) {
-                perform(broker.refusedLocally(action.key, ErrorKind.BUDGET_EXHAUSTED, now))
+                val kind =
+                    if (isCutOff) ErrorKind.BUDGET_UNREACHABLE else ErrorKind.BUDGET_EXHAUSTED
+                perform(broker.refusedLocally(action.key, kind, isCutOff, now))
                 return
             }
             free -= action.tokens
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
@@ -184,7 +184,7 @@
 
         override fun refused(request: RequestId, kind: ErrorKind) {
             pending.remove(request)?.let { logRefusal(it, kind) }
-            perform(broker.refusedLocally(request, kind, now()))
+            perform(broker.refusedLocally(request, kind, !isStoreReachable, now()))
         }
 
         override fun fenced() = listener.fenced()
