Don't pass over a home that waits for a slow store

Cause: a home that needed tokens from the store answered nothing until it had them. After 240 ms the asking hosts took it for silent and passed it over for two seconds or more, so on a slow store each of them took a slice of its own. Found by reading.

Change: a home answers a repeated request with "pending" while it waits.

Result: TokenBrokerTest.homeThatWaitsForTheStoreIsNotSilent. The code before was not run with it.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenBroker.kt
@@ -242,6 +242,7 @@
             is TokenMessage.Settle -> release(host, from, message, now)
             is TokenMessage.Settled -> reports.remove(message.ask)
             is TokenMessage.Reserved -> reserved(host, message)
+            is TokenMessage.Pending -> pending(host, message)
             is TokenMessage.Refused -> refused(host, message, now)
         }
     }
@@ -251,7 +252,14 @@
         val known = held[key]
         when {
             // The answer to an earlier copy of the message may have been lost.
-            known != null -> if (known.isReserved) send(host, TokenMessage.Reserved(message.ask))
+            known != null -> send(
+                host,
+                if (known.isReserved) {
+                    TokenMessage.Reserved(message.ask)
+                } else {
+                    TokenMessage.Pending(message.ask)
+                }
+            )
 
             key in ended -> Unit
 
@@ -302,6 +310,12 @@
         actions += TokenAction.Reserved(waiting.request)
     }
 
+    /** The home isn't silent: it answers repeated messages until it has decided. */
+    private fun pending(host: HostName, message: TokenMessage.Pending) {
+        val waiting = byAsk[message.ask] ?: return
+        if (waiting.home == host) waiting.sends = 0
+    }
+
     private fun refused(host: HostName, message: TokenMessage.Refused, now: Duration) {
         val waiting = byAsk[message.ask] ?: return
         if (waiting.home != host || waiting.isReserved) return
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/TokenMessage.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/TokenMessage.kt
@@ -38,6 +38,11 @@
         val holdMillis: Long
     ) : TokenMessage
 
+    /** The home has the request and waits for tokens from the store. */
+    @Serializable
+    @SerialName("pending")
+    data class Pending(override val ask: Long) : TokenMessage
+
     /** The tokens are reserved. */
     @Serializable
     @SerialName("reserved")
--- a/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
+++ b/core/src/test/kotlin/org/hemlockpond/core/entry/TokenBrokerTest.kt
@@ -59,6 +59,21 @@
         assertEquals(listOf("r", "r2"), other.reserved, "at ${net.now - start}")
     }
 
+    /** Guards against hosts that pass a home over because it waits for a slow store. */
+    @Test
+    fun homeThatWaitsForTheStoreIsNotSilent() {
+        net.hosts.forEach { it.free = 100 }
+        home.localDelay = 800.milliseconds
+        other.reserve("r", customer, 60)
+        net.run(700.milliseconds)
+        assertEquals(emptyList(), other.reserved)
+        net.run(300.milliseconds)
+        assertEquals(listOf("r"), other.reserved)
+        assertEquals(40, home.free)
+        assertTrue(other.broker.isHome(customer, net.now) == (other === home))
+        assertEquals(1, net.hosts.sumOf { it.localKeys.size })
+    }
+
     /** Guards against a host that serves nothing while it is cut off from its domain. */
     @Test
     fun ownSliceIsUsedIfNoHomeAnswers() {
