Take the event loop for late for some time after a late tick

Cause: LateLoopTest failed once in two runs on beside other load: the timer's task may stand behind the task that blocks the loop and run before the next read, and the loop then didn't count as late.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -125,6 +125,7 @@
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
     private var tickedAt = Duration.ZERO
+    private var lateTickAt = -Duration.INFINITE
     private var stopping = false
     private var returningTokens = false
     private var tokensReturned = false
@@ -224,6 +225,7 @@
 
     private fun tick() {
         val now = clock.now().elapsed
+        if (now - tickedAt > settings.lateLoopLimit) lateTickAt = now
         tickedAt = now
         // A watch that is cut off ends only after its wait.
         if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
@@ -461,7 +463,11 @@
 
     private inner class CallerEvents : CallerListener {
         override val isClosing: Boolean get() = stopping || isCutOffFromStore
-        override val isLoopLate: Boolean get() = now() - tickedAt > settings.lateLoopLimit
+
+        // The late tick may run before the requests that came during the pause are read.
+        override val isLoopLate: Boolean
+            get() = now() - tickedAt > settings.lateLoopLimit ||
+                now() - lateTickAt <= settings.lateLoopLimit
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
         override val idleTimeout: Duration get() = callerIdleTimeout.longest(now())
