--- a/core/src/main/kotlin/org/hemlockpond/core/entry/StoreReaderRole.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/StoreReaderRole.kt
@@ -72,10 +72,10 @@
     fun isReader(now: Duration): Boolean = isAnswered && !isFollowing(now) && now >= takeOverAt()
 
     /** When this host may read the store although no other host has told it to. */
-    fun readAt(now: Duration): Duration = when {
-        isFollowing(now) -> heardAt + settings.silenceLimit + turns()
-        isAnswered -> takeOverAt()
-        else -> maxOf(takeOverAt(), unansweredAt + probeInterval())
+    fun readAt(now: Duration): Duration = if (isFollowing(now) || isAnswered) {
+        takeOverAt()
+    } else {
+        maxOf(takeOverAt(), unansweredAt + probeInterval())
     }
 
     private fun takeOverAt() = if (followed == null) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -124,8 +124,7 @@
     private var endpointListRead = false
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
-    private var tickedAt = Duration.ZERO
-    private var lateTickAt = -Duration.INFINITE
+    private val lateness = LoopLateness(settings.lateLoopLimit)
     private var stopping = false
     private var returningTokens = false
     private var tokensReturned = false
@@ -225,8 +224,7 @@
 
     private fun tick() {
         val now = clock.now().elapsed
-        if (now - tickedAt > settings.lateLoopLimit) lateTickAt = now
-        tickedAt = now
+        lateness.ticked(now)
         // A watch that is cut off ends only after its wait.
         if (storeReachable && isCutOffFromStore) storeReachabilityChanged(false, "silence")
         budgets.tick()
@@ -464,10 +462,7 @@
     private inner class CallerEvents : CallerListener {
         override val isClosing: Boolean get() = stopping || isCutOffFromStore
 
-        // The late tick may run before the requests that came during the pause are read.
-        override val isLoopLate: Boolean
-            get() = now() - tickedAt > settings.lateLoopLimit ||
-                now() - lateTickAt <= settings.lateLoopLimit
+        override val isLoopLate: Boolean get() = lateness.isLate(now())
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
 
         override val idleTimeout: Duration get() = callerIdleTimeout.longest(now())
