Keep hosts from relying on a reader or a store contact that is gone

(1) A home whose budget call had failed counted the store as lost until it read something itself, which a follower may not do for long; a stopping host then couldn't return its tokens, kept its listener open and cut requests accepted seven seconds after SIGTERM.

Change: a budget call that fails makes the host probe the store; nothing is accepted later than 3 s after the signal to stop; a reader sends messages only while the store has answered it within 800 ms; domains of fewer than six hosts don't share watches.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/StoreReaderRole.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/StoreReaderRole.kt
@@ -8,7 +8,9 @@
  * The hosts of a domain that has lost the store take turns to probe it, and the first one that gets
  * an answer tells the others.
  *
- * Messages only save calls: what is applied is always read from the store.
+ * Messages only save calls: what is applied is always read from the store. A reader that has lost the
+ * store without a sign must not keep the others from reading: it asks the store for an answer several
+ * times a second and sends nothing without a recent one.
  */
 package org.hemlockpond.core.entry
 
@@ -20,18 +22,29 @@
 /**
  * Settings of a [StoreReaderRole].
  *
+ * @property minHosts the fewest hosts of a failure domain that share watches. Fewer hosts gain little, and
+ *   each then watches for itself.
  * @property messageInterval the time between two messages of a reader
+ * @property contactInterval the time between two calls by which a reader checks that the store answers
+ * @property contactLimit the age of the last answered one up to which a reader sends messages. The sum
+ *   with [silenceLimit] and a turn bounds how long a domain relies on a reader that is cut off; it is
+ *   below the two seconds within which the platform's small deployments want a configuration in force.
  * @property silenceLimit the time without a message after which a host no longer relies on its reader;
  *   covers two lost messages
  * @property turn how much later than the host before it in the order each host takes over
  * @property maxTurns the most turns that a host waits; many known hosts may be gone for good
+ * @property probeTurn the mean time between two probes of the hosts of a domain that has lost the store
  * @property probeInterval the least time between two probes of a host that has lost the store
  */
 data class StoreReaderSettings(
-    val messageInterval: Duration = 400.milliseconds,
-    val silenceLimit: Duration = 1.seconds,
-    val turn: Duration = 200.milliseconds,
+    val minHosts: Int = 6,
+    val messageInterval: Duration = 250.milliseconds,
+    val contactInterval: Duration = 400.milliseconds,
+    val contactLimit: Duration = 800.milliseconds,
+    val silenceLimit: Duration = 700.milliseconds,
+    val turn: Duration = 100.milliseconds,
     val maxTurns: Int = 8,
+    val probeTurn: Duration = 200.milliseconds,
     val probeInterval: Duration = 1.seconds
 )
 
@@ -41,6 +54,9 @@
     private val settings: StoreReaderSettings,
     private val hosts: () -> Set<HostName>
 ) {
+    /** The hosts that share watches with this one. */
+    val others: Set<HostName>
+        get() = hosts().let { if (it.size + 1 < settings.minHosts) emptySet() else it }
     private var followed: HostName? = null
     private var heardAt = -Duration.INFINITE
     private var unansweredAt = -Duration.INFINITE
@@ -48,7 +64,8 @@
 
     /** A host that has the store's answers says so. */
     fun heard(from: HostName, now: Duration) {
-        if (isReader(now) && rank(from) > rank(self)) return
+        val isEarlier = rank(from) < rank(self)
+        if (others.isEmpty() || (isReader(now) && !isEarlier)) return
         followed = from
         heardAt = now
     }
@@ -89,13 +106,13 @@
     /** Long enough for each host to have its turn. */
     private fun probeInterval() = maxOf(
         settings.probeInterval,
-        settings.turn * (hosts().size + 1).coerceAtMost(2 * settings.maxTurns)
+        settings.probeTurn * (others.size + 1).coerceAtMost(2 * settings.maxTurns)
     )
 
     /** The number of known hosts before [host] in the order that all hosts share. */
     private fun rank(host: HostName): Int {
         val own = weight(host)
-        return (hosts() + self).count { weight(it) > own }
+        return (others + self).count { weight(it) > own }
     }
 
     private fun weight(host: HostName) = mix(ORDER_KEY xor mix(host.value.hashCode().toLong()))
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -126,6 +126,7 @@
     private var storeAnsweredAt = Duration.ZERO
     private val lateness = LoopLateness(settings.lateLoopLimit)
     private var stopping = false
+    private var stoppingSince = Duration.ZERO
     private var returningTokens = false
     private var tokensReturned = false
 
@@ -180,6 +181,7 @@
         metrics.gauge("hemlockpond.waiting.requests") { dispatcher.waitingRequests }
         metrics.gauge("hemlockpond.endpoint.connections.opened") { pool.openedConnections }
         metrics.gauge("hemlockpond.budget.store.calls") { budgets.storeCalls }
+        metrics.gauge("hemlockpond.budget.store.lost") { if (budgets.isStoreReachable) 0 else 1 }
         metrics.gauge("hemlockpond.peer.hosts") { broker.hosts.size }
         metrics.gauge("hemlockpond.peer.reservations") { broker.heldCount }
         metrics.gauge("hemlockpond.store.reader") {
@@ -328,6 +330,7 @@
     private fun beginStop(limit: Duration) {
         if (stopping) return
         stopping = true
+        stoppingSince = clock.now().elapsed
         log(LogEvent.ROUTER_DRAINING, "open" to dispatcher.openRequests)
         val delay = minOf(settings.stopDelay, limit / 2)
         loop.schedule({ continueStop() }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
@@ -338,7 +341,9 @@
      * Tokens that aren't reserved by an open request are returned immediately, because the store
      * may have become unreachable by the time the last request ends. The router has stopped when all
      * callers' connections are closed: only then have slow readers been sent their whole answers, and
-     * requests that were being read been answered.
+     * requests that were being read been answered. Without the store the tokens can't be returned; a
+     * request that is accepted late would then be cut off at the stop limit, so none is accepted after
+     * [EntryRouterSettings.lastAcceptDelay].
      */
     private fun continueStop() {
         connections.toList().forEach { it.closeIfIdle(STOP_IDLE_TIME) }
@@ -347,6 +352,8 @@
             budgets.drain()
         }
         val isDone = tokensReturned && requests.openCount == 0 && connections.isEmpty()
+        val acceptsNoMore = clock.now().elapsed - stoppingSince >= settings.lastAcceptDelay
+        if (acceptsNoMore && callerListener.isOpen) callerListener.close()
         when {
             !isDone -> Unit
 
@@ -451,7 +458,8 @@
         override fun endpointInvalid(id: EndpointId) =
             applyEndpointChanges(directory.removeUnreadable(id))
 
-        override val isReachable: Boolean get() = storeReachable
+        // A budget call may fail while another host's messages say that the store answers.
+        override val isReachable: Boolean get() = storeReachable && budgets.isStoreReachable
 
         override fun callEnded(answered: Boolean, cause: String?) {
             if (answered) storeAnsweredAt = clock.now().elapsed
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -26,6 +26,8 @@
  * @property stopLimit the time between the signal to stop and the end of the process
  * @property stopDelay how long callers may open connections after the signal to stop; the platform
  *   redirects them after two failed readiness probes, 1 s apart
+ * @property lastAcceptDelay how long after the signal to stop connections are accepted at most; the
+ *   platform has redirected callers by then, and what is accepted later has too little time left
  * @property watchPollTimeout how long one call of a watch waits for changes; a silent connection is
  *   detected 1 s after this time
  * @property endpointWatchPause the delay between two calls of the endpoint list's watch, as the
@@ -61,6 +63,7 @@
     val peerAddress: InetSocketAddress? = null,
     val stopLimit: Duration = 8.seconds,
     val stopDelay: Duration = 2_500.milliseconds,
+    val lastAcceptDelay: Duration = 3.seconds,
     val watchPollTimeout: Duration = 1_500.milliseconds,
     val endpointWatchPause: Duration = 250.milliseconds,
     val storeSilenceLimit: Duration = 2_200.milliseconds,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -6,6 +6,9 @@
 
 import kotlin.time.Duration
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.isActive
 import kotlinx.coroutines.launch
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.entry.EntryConfig
@@ -42,7 +45,7 @@
 
 /** @param send sends a message to the other hosts of the failure domain */
 internal class FleetWatcher(
-    store: KeyValueStore,
+    private val store: KeyValueStore,
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
     private val scope: CoroutineScope,
@@ -75,7 +78,30 @@
     private var lastSent: StoreRevisions? = null
     private var nextMessageAt = Duration.ZERO
 
-    fun start() = watches.forEach { scope.launch { it.run() } }
+    /** When the last call was sent by which this host, as the reader, knows that the store answers. */
+    private var contactAt = -Duration.INFINITE
+
+    fun start() {
+        watches.forEach { scope.launch { it.run() } }
+        scope.launch { checkContact() }
+    }
+
+    /** A watch of a connection that is cut off shows it only when its wait is over. */
+    private suspend fun checkContact() = coroutineScope {
+        while (isActive) {
+            val sentAt = now()
+            if (role.others.isNotEmpty() && listener.isReachable && role.isReader(sentAt)) {
+                val read = store.readStale(CONTACT_KEY)
+                if (read is ReadResult.Values) {
+                    contactAt = sentAt
+                } else {
+                    role.unanswered(now())
+                    listener.callEnded(false, (read as ReadResult.Unavailable).cause)
+                }
+            }
+            delay(settings.reader.contactInterval)
+        }
+    }
 
     /** The host [from] watches the store and tells its [revisions]. */
     fun revisionsTold(from: HostName, revisions: StoreRevisions) {
@@ -89,7 +115,11 @@
     fun tick(endpointGrace: Duration) {
         val now = now()
         if (!role.isReader(now) || !listener.isReachable) return
-        if (watches.any { it.changedAt < 0 }) return
+        if (watches.any { it.changedAt < 0 } ||
+            now - contactAt > settings.reader.contactLimit
+        ) {
+            return
+        }
         val next =
             StoreRevisions(operatorKeys.changedAt, endpointList.changedAt, shared.changedAt)
         if (next == lastSent && now < nextMessageAt) return
@@ -267,5 +297,8 @@
     private companion object {
         /** Limits the memory used to remember logged entries. */
         const val MAX_LOGGED_KEYS = 1_000
+
+        /** A small key that is there once a host has registered; its value doesn't matter. */
+        const val CONTACT_KEY = "hemlockpond/peer-secret"
     }
 }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/MeteredStore.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/MeteredStore.kt
@@ -30,6 +30,9 @@
     override suspend fun read(key: String): ReadResult =
         store.read(key).also { count(purpose(key), outcome(it)) }
 
+    override suspend fun readStale(key: String): ReadResult =
+        store.readStale(key).also { count(purpose(key) + STALE_SUFFIX, outcome(it)) }
+
     override suspend fun readPrefix(prefix: String): ReadResult =
         store.readPrefix(prefix).also { count(purpose(prefix), outcome(it)) }
 
@@ -72,5 +75,6 @@
         const val PRODUCT = "hemlockpond"
         const val LEASES = "leases"
         const val WATCH_SUFFIX = " watch"
+        const val STALE_SUFFIX = " stale"
     }
 }
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/SimulatedStore.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/SimulatedStore.kt
@@ -23,6 +23,10 @@
     /** Calls by the first parts of their key, with "watch" for the waiting ones. */
     val calls = sortedMapOf<String, Int>()
 
+    /** Reads that may be old, which cost a tenth of the other calls. */
+    var staleReads = 0
+        private set
+
     fun put(key: String, value: String) {
         revision++
         values[key] = StoredValue(key, value, revision)
@@ -51,6 +55,12 @@
             return ReadResult.Values(listOfNotNull(values[key]), revision)
         }
 
+        override suspend fun readStale(key: String): ReadResult {
+            staleReads++
+            if (!isAnswered()) return ReadResult.Unavailable("cut off")
+            return ReadResult.Values(listOfNotNull(values[key]), revision)
+        }
+
         override suspend fun readPrefix(prefix: String): ReadResult {
             count(prefix)
             if (!isAnswered()) return ReadResult.Unavailable("cut off")
--- a/store/src/main/kotlin/org/hemlockpond/store/KeyValueStore.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/KeyValueStore.kt
@@ -12,6 +12,11 @@
     /** Reads one key. */
     suspend fun read(key: String): ReadResult
 
+    /**
+     * Reads one key at the lowest cost; the value may be seconds old. Shows that the store answers.
+     */
+    suspend fun readStale(key: String): ReadResult = read(key)
+
     /** Reads all keys that start with [prefix]. */
     suspend fun readPrefix(prefix: String): ReadResult
 
