Log where a budget's tokens are when a reservation is refused

Cause: HP1812 showed the slice of the home and the tokens in no slice.

Change: HP1812 also has the tokens reserved here, those free in other slices, those charged for ended slices, and those paid.

Measured: nothing yet; no decision changes.

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -75,7 +75,13 @@
             free = it.free,
             spendable = spendable(it, time),
             availableInRecord = it.record.available,
-            recordAge = time - it.recordAsOf
+            recordAge = time - it.recordAsOf,
+            reserved = it.reserved,
+            paid = it.record.paid,
+            charged = it.record.closedSpent,
+            freeElsewhere = it.record.slices.entries.sumOf { (holder, slice) ->
+                if (holder == self) 0 else slice.free
+            }
         )
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/DomainBudgets.kt
@@ -171,7 +171,11 @@
             "needed" to asked.tokens,
             "free" to state.free,
             "allowed" to state.spendable,
+            "reserved" to state.reserved,
             "recorded" to state.availableInRecord,
+            "elsewhere" to state.freeElsewhere,
+            "charged" to state.charged,
+            "paid" to state.paid,
             "record age" to state.recordAge.inWholeMilliseconds
         )
     }
