Pass on only the rest of a stream when another endpoint resumes it

Callers saw: the text of an error, at times its head, in the middle of their stream, events twice, or a stream that looked complete after its first part.

Cause: of the answer to a resumed request only the status was checked.

Change: the answer must have the content type of the stream, and each of its events an id that follows the last one. Otherwise the attempt has failed, and nothing of it is passed on.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -133,6 +133,7 @@
         usedConnections += endpointConnection
         headReceived = false
         answerBegan = false
+        if (headSent) splitter.resume()
         endpointConnection.setPaused(!caller.isWritable && headSent)
     }
 
@@ -183,10 +184,21 @@
             headSent && code != OK ->
                 AttemptEnd.Broken("status $code instead of the rest of a stream", false)
 
+            headSent && contentType(response.headers()) != contentType(headers!!) ->
+                AttemptEnd.Broken(
+                    "content type ${contentType(
+                        response.headers()
+                    )} instead of the rest of a stream",
+                    false
+                )
+
             else -> null
         }
     }
 
+    private fun contentType(headers: HttpHeaders): String? =
+        headers[HttpHeaderNames.CONTENT_TYPE]?.substringBefore(';')?.trim()?.lowercase()
+
     /** Ends the attempt without waiting for the rest of its answer, which may have no end. */
     private fun rejectAnswer(end: AttemptEnd) {
         val current = connection ?: return
@@ -217,8 +229,12 @@
         } else {
             whole.release()
         }
-        if (splitter.pendingBytes > settings.maxEventBytes) {
-            rejectAnswer(AttemptEnd.Broken("event over ${settings.maxEventBytes} bytes", false))
+        when {
+            splitter.isInterrupted ->
+                rejectAnswer(AttemptEnd.Broken("an event that doesn't resume the stream", false))
+
+            splitter.pendingBytes > settings.maxEventBytes ->
+                rejectAnswer(AttemptEnd.Broken("event over ${settings.maxEventBytes} bytes", false))
         }
     }
 
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EventSplitterTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EventSplitterTest.kt
@@ -4,6 +4,8 @@
 import io.netty.buffer.Unpooled
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+import kotlin.test.assertTrue
 
 class EventSplitterTest {
     private fun EventSplitter.addText(text: String): String =
@@ -25,6 +27,42 @@
         }
     }
 
+    /** Guards against passing on what another endpoint sends in place of the rest of a stream. */
+    @Test
+    fun eventsOfAResumedStreamFollowThoseBefore() {
+        val notTheRest = listOf(
+            "id: 7\ndata: a\n\n",
+            "id: 3\ndata: a\n\n",
+            "data: a\n\n",
+            "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n"
+        )
+        for (text in notTheRest) {
+            for (size in 1..text.length) {
+                val splitter = EventSplitter()
+                splitter.addText("id: 7\ndata: a\n\nid: 8\nda")
+                splitter.dropRest()
+                splitter.resume()
+                val parts = (": comment\n\nid: 9\ndata: b\n\n" + text).chunked(size)
+                val whole = parts.joinToString("") {
+                    if (splitter.isInterrupted) "" else splitter.addText(it)
+                }
+                assertEquals(": comment\n\nid: 9\ndata: b\n\n", whole, "parts of $size")
+                assertTrue(splitter.isInterrupted, text)
+                assertEquals("9", splitter.lastId)
+            }
+        }
+    }
+
+    /** Guards against breaking off streams whose ids aren't numbers. */
+    @Test
+    fun idsThatAreNoNumbersOnlyMustDiffer() {
+        val splitter = EventSplitter()
+        splitter.addText("id: b\ndata: a\n\n")
+        splitter.resume()
+        assertEquals("id: a\ndata: b\n\n", splitter.addText("id: a\ndata: b\n\n"))
+        assertFalse(splitter.isInterrupted)
+    }
+
     /** Guards against joining the rest of a broken attempt with the events of the next one. */
     @Test
     fun droppedRestIsNotPartOfTheNextEvent() {
