Don't continue a plain answer, or events without ids, at another endpoint

Callers saw: events behind the first part of a failure's body.

Cause: on a route whose streams can be resumed, every answer that had begun counted as such a stream, also a failure above the size that is buffered, and events without ids, after which nothing can be resumed.

Change: an attempt follows only if the caller has received nothing, or events with ids.

Measured: ResumedStreamTest.largeFailureThatBreaksOffIsNotContinued failed before (an event followed 100,000 bytes of a failure); it passes now.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -118,6 +118,13 @@
     /** The number of complete events forwarded to the caller. */
     val events: Long get() = splitter.events
 
+    /**
+     * Whether another endpoint can send what the caller hasn't received. A part of a plain answer can't
+     * be continued, nor can events without ids.
+     */
+    val canResume: Boolean
+        get() = !headSent || (!unbuffered && (events == 0L || splitter.lastId != null))
+
     /** The id of the last event that the caller has received. */
     val resumeAfter: String? get() = splitter.lastId ?: callerHead.resumeAfter
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -367,7 +367,7 @@
     private fun attemptCompleted(exchange: EntryExchange, end: AttemptEnd) {
         if (end !is AttemptEnd.Answered) logFailedAttempt(exchange, end.toString())
         val repeatable = !exchange.headSent ||
-            exchange.request.route.retrySafety == RetrySafety.RESUMABLE
+            (exchange.request.route.retrySafety == RetrySafety.RESUMABLE && exchange.canResume)
         perform(dispatcher.attemptEnded(exchange.request.id, end, now(), repeatable))
     }
 
