Take a late request while stopping only if it ends in time, and answer the rest

Callers saw: in a planned stop, requests that came late were passed on and cut at the stop limit without an answer, among them requests that may not be repeated.

Cause: the listener closed 3 s after the signal, but a connection accepted before carried one more request whenever its head or body was complete. Nothing compared what a request may take with what was left until the stop limit, and what was still open then ended with the process.

Change: StopSchedule takes every request while the platform still sends callers (3 s, at most half of the limit), and later ones only if their deadline is before the end. Others are refused at once, with a short Retry-After, as callers then reach other hosts. 200 ms before the limit, what has not run is refused and what runs at an endpoint is answered 504. The stop moves from EntryRouter to EntryStop.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -35,6 +35,7 @@
 import org.hemlockpond.core.entry.RetrySafety
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
+import org.hemlockpond.core.entry.StopSchedule
 import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.core.entry.TokenRetryAfter
 import org.hemlockpond.router.LogEvent
@@ -73,6 +74,9 @@
     private val tokenRetryAfter = TokenRetryAfter()
     private var config: EntryConfig? = null
 
+    /** What is still taken; null unless the router stops. */
+    private var stop: StopSchedule? = null
+
     /** The number of requests that haven't ended. */
     val openCount: Int get() = exchanges.size
 
@@ -128,7 +132,12 @@
             body.release()
             return
         }
-        val timeout = minOf(head.timeout ?: route.timeout, route.timeout)
+        val deadline = arrival + minOf(head.timeout ?: route.timeout, route.timeout)
+        if (stop?.accepts(deadline, now()) == false) {
+            refuseBeforeAccept(caller, head, ErrorKind.ROUTER_STOPPING, current?.version)
+            body.release()
+            return
+        }
         val request = EntryRequest(
             id = head.requestId,
             route = route,
@@ -137,7 +146,7 @@
             rank = customer?.rank ?: route.rank,
             prompt = head.prompt,
             arrival = arrival,
-            deadline = arrival + timeout,
+            deadline = deadline,
             contentDigest = contentDigest(route, customer, http.uri(), body)
         )
         startExchange(EntryExchange(request, http, body, caller, head, dialect, settings, this))
@@ -167,7 +176,11 @@
             "kind" to kind.code,
             "config" to version
         )
-        val retryAfter = if (kind == ErrorKind.NOT_CONFIGURED) CONFIG_RETRY else null
+        val retryAfter = when (kind) {
+            ErrorKind.NOT_CONFIGURED -> CONFIG_RETRY
+            ErrorKind.ROUTER_STOPPING -> stop?.retryAfter()
+            else -> null
+        }
         caller.refuse(kind, retryAfter)
     }
 
@@ -204,10 +217,10 @@
     fun budgetRefused(id: RequestId, kind: ErrorKind) {
         val exchange = exchanges[id] ?: return
         exchange.isReserving = false
-        val retryAfter = if (kind == ErrorKind.BUDGET_EXHAUSTED) {
-            null
-        } else {
-            tokenRetryAfter.delay(budgets.isStoreReachable)
+        val retryAfter = when (kind) {
+            ErrorKind.BUDGET_EXHAUSTED -> null
+            ErrorKind.ROUTER_STOPPING -> stop?.retryAfter()
+            else -> tokenRetryAfter.delay(budgets.isStoreReachable)
         }
         endExchange(exchange, "refused", kind) { exchange.refuse(kind, retryAfter) }
     }
@@ -393,6 +406,29 @@
         }
     }
 
+    /** The router stops; from now on requests are taken as [schedule] says. */
+    fun stopBegan(schedule: StopSchedule) {
+        stop = schedule
+    }
+
+    /**
+     * Ends all requests, because the process ends soon. Those that haven't run are refused first, so that
+     * none of them is sent in the place of another.
+     */
+    fun endAll() {
+        val (ran, waiting) = exchanges.values.partition { it.isAttemptRunning || it.mayHaveRun }
+        for (exchange in waiting) {
+            endExchange(exchange, "refused", ErrorKind.ROUTER_STOPPING) {
+                exchange.refuse(ErrorKind.ROUTER_STOPPING, stop?.retryAfter())
+            }
+        }
+        for (exchange in ran) {
+            endExchange(exchange, "stopped", ErrorKind.ENDPOINT_TIMEOUT) {
+                exchange.refuse(ErrorKind.ENDPOINT_TIMEOUT, null)
+            }
+        }
+    }
+
     /** Cancels the attempt under way and ends the exchange: its caller closed the connection. */
     fun callerDisconnected(exchange: EntryExchange) {
         if (exchange.finished) return
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.HttpServerCodec
 import java.net.InetSocketAddress
 import java.util.UUID
-import java.util.concurrent.CountDownLatch
 import java.util.concurrent.TimeUnit
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
@@ -125,14 +124,11 @@
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
     private val lateness = LoopLateness(settings.lateLoopLimit)
-    private var stopping = false
-    private var stoppingSince = Duration.ZERO
-    private var returningTokens = false
-    private var tokensReturned = false
+    private val entryStop =
+        EntryStop(settings, loop, clock, requests, connections, { callerListener }, budgets::drain)
 
     @Volatile
     private var stopLimit = settings.stopLimit
-    private val stopped = CountDownLatch(1)
 
     private fun createBudgets(listener: BudgetListener) = EntryBudgets(
         id,
@@ -280,8 +276,8 @@
             clock.now().elapsed - storeAnsweredAt > settings.storeSilenceLimit
 
     private val isReady: Boolean
-        get() = config != null && endpointListRead && sharedRecords.isRead && !stopping &&
-            !isCutOffFromStore
+        get() = config != null && endpointListRead && sharedRecords.isRead &&
+            !entryStop.isStopping && !isCutOffFromStore
 
     private fun readiness(): StatusPage =
         if (isReady) StatusPage(OK, "ready\n") else StatusPage(UNAVAILABLE, "not ready\n")
@@ -319,55 +315,12 @@
      */
     fun stop() {
         val limit = stopLimit - STOP_MARGIN
-        loop.execute { beginStop(limit) }
-        if (!stopped.await(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS)) {
-            log(LogEvent.DRAIN_TIMEOUT, "open" to dispatcher.openRequests)
-        }
+        loop.execute { entryStop.begin(limit) }
+        if (!entryStop.await(limit)) log(LogEvent.DRAIN_TIMEOUT, "open" to dispatcher.openRequests)
         scope.cancel()
         log(LogEvent.ROUTER_STOPPED)
     }
 
-    private fun beginStop(limit: Duration) {
-        if (stopping) return
-        stopping = true
-        stoppingSince = clock.now().elapsed
-        log(LogEvent.ROUTER_DRAINING, "open" to dispatcher.openRequests)
-        val delay = minOf(settings.stopDelay, limit / 2)
-        loop.schedule({ continueStop() }, delay.inWholeMilliseconds, TimeUnit.MILLISECONDS)
-    }
-
-    /**
-     * Continues the stop after the stop delay, when the platform sends no new callers any more.
-     * Tokens that aren't reserved by an open request are returned immediately, because the store
-     * may have become unreachable by the time the last request ends. The router has stopped when all
-     * callers' connections are closed: only then have slow readers been sent their whole answers, and
-     * requests that were being read been answered. Without the store the tokens can't be returned; a
-     * request that is accepted late would then be cut off at the stop limit, so none is accepted after
-     * [EntryRouterSettings.lastAcceptDelay].
-     */
-    private fun continueStop() {
-        connections.toList().forEach { it.closeIfIdle(STOP_IDLE_TIME) }
-        if (!returningTokens) {
-            returningTokens = true
-            budgets.drain()
-        }
-        val isDone = tokensReturned && requests.openCount == 0 && connections.isEmpty()
-        val acceptsNoMore = clock.now().elapsed - stoppingSince >= settings.lastAcceptDelay
-        if (acceptsNoMore && callerListener.isOpen) callerListener.close()
-        when {
-            !isDone -> Unit
-
-            // Requests on connections that were accepted before are still answered.
-            callerListener.isOpen -> callerListener.close()
-
-            else -> {
-                stopped.countDown()
-                return
-            }
-        }
-        loop.schedule({ continueStop() }, STOP_POLL_MILLIS, TimeUnit.MILLISECONDS)
-    }
-
     /** The hosts of this failure domain that have registered in the store. */
     private inner class StoreRegisteredHosts(address: InetSocketAddress) : DomainHosts {
         val peers = HostPeers(hostName, id, settings.domain, address, group) {
@@ -405,9 +358,7 @@
             exit(EXIT_FENCED)
         }
 
-        override fun drained() {
-            tokensReturned = true
-        }
+        override fun drained() = entryStop.tokensReturned()
     }
 
     private inner class CrashEvents : CrashListener {
@@ -468,7 +419,7 @@
     }
 
     private inner class CallerEvents : CallerListener {
-        override val isClosing: Boolean get() = stopping || isCutOffFromStore
+        override val isClosing: Boolean get() = entryStop.isStopping || isCutOffFromStore
 
         override val isLoopLate: Boolean get() = lateness.isLate(now())
         override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
@@ -521,10 +472,6 @@
          * Time to write the last log lines before the platform ends the process at the stop limit.
          */
         val STOP_MARGIN = 300.milliseconds
-        const val STOP_POLL_MILLIS = 20L
-
-        /** While stopping, a new connection has this time for its first bytes. */
-        val STOP_IDLE_TIME = 100.milliseconds
 
         /**
          * How long a replaced idle timeout stays in force; connections idle under it end by then.
