Bound the bytes of all answers that wait for their end

Callers would see: a host that runs out of memory, and all its requests end with it.

Cause: each answer that waits for the end of an event or of its body was bounded (64 KiB), all answers together were not. Faulty endpoints with a thousand connections to one host hold as much as its direct memory, or its heap, as events are kept there.

Change: AnswerBuffers counts these bytes. Above 16 MiB the attempt with the largest answer ends; sound answers and events don't stay, so it is one that doesn't end. The gauge hemlockpond_buffered_answer_bytes shows them.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -37,6 +37,9 @@
 internal interface ExchangeListener {
     fun bytesReceived(exchange: EntryExchange)
 
+    /** [EntryExchange.bufferedBytes] may have changed. */
+    fun bufferChanged(exchange: EntryExchange)
+
     /** The first event of a stream, or the head of a plain answer, arrived. */
     fun answerStarted(exchange: EntryExchange)
 
@@ -115,6 +118,10 @@
     var answeredStatus = 0
         private set
 
+    /** The bytes of the current attempt's answer that wait for the end of an event or of the answer. */
+    val bufferedBytes: Int
+        get() = splitter.pendingBytes + (partialBody?.readableBytes() ?: 0)
+
     /** The number of complete events forwarded to the caller. */
     val events: Long get() = splitter.events
 
@@ -225,6 +232,15 @@
             unbuffered -> caller.channel.writeAndFlush(DefaultHttpContent(bytes))
             else -> collect(bytes)
         }
+        listener.bufferChanged(this)
+    }
+
+    /** Ends the current attempt, because the answers of all requests take too much memory. */
+    fun endLargestAnswer() {
+        releasePartialBody()
+        rejectAnswer(
+            AttemptEnd.Broken("the largest answer while too many bytes are buffered", false)
+        )
     }
 
     private fun writeEvents(bytes: ByteBuf) {
@@ -325,8 +341,7 @@
         connection = null
         if (finished) return
         splitter.dropRest()
-        partialBody?.release()
-        partialBody = null
+        releasePartialBody()
         mayHaveRun = true
         listener.attemptEnded(
             this,
@@ -345,8 +360,7 @@
         mayHaveRun = true
         current.cancel()
         splitter.dropRest()
-        partialBody?.release()
-        partialBody = null
+        releasePartialBody()
     }
 
     /** Sends the buffered answer to the caller, if there is one, and ends the exchange. */
@@ -405,6 +419,11 @@
         body.release()
     }
 
+    private fun releasePartialBody() {
+        partialBody?.release()
+        partialBody = null
+    }
+
     private fun releaseBufferedAnswer() {
         bufferedAnswer?.body?.release()
         bufferedAnswer = null
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -71,12 +71,16 @@
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
     private val crashCheck = CrashCheck(pool)
+    private val buffers = AnswerBuffers(settings.maxBufferedBytes)
     private val tokenRetryAfter = TokenRetryAfter()
     private var config: EntryConfig? = null
 
     /** What is still taken; null unless the router stops. */
     private var stop: StopSchedule? = null
 
+    /** The bytes of answers that are kept until an event or the answer is complete. */
+    val bufferedBytes: Int get() = buffers.total
+
     /** The number of requests that haven't ended. */
     val openCount: Int get() = exchanges.size
 
@@ -340,6 +344,15 @@
     override fun bytesReceived(exchange: EntryExchange) =
         dispatcher.bytesReceived(exchange.request.id, now())
 
+    override fun bufferChanged(exchange: EntryExchange) {
+        buffers.update(exchange, exchange.bufferedBytes)
+        while (true) {
+            val largest = buffers.largestOverLimit() ?: return
+            largest.endLargestAnswer()
+            buffers.update(largest, 0)
+        }
+    }
+
     override fun answerStarted(exchange: EntryExchange) {
         val now = now()
         if (exchange.firstAnswerDelay ==
@@ -364,6 +377,7 @@
     }
 
     override fun attemptEnded(exchange: EntryExchange, end: AttemptEnd) {
+        buffers.update(exchange, 0)
         val address = exchange.endpointAddress
         if (end !is AttemptEnd.Broken || !end.crash || address == null) {
             attemptCompleted(exchange, end)
@@ -446,6 +460,7 @@
     ) {
         val request = exchange.request
         exchanges.remove(request.id, exchange)
+        buffers.update(exchange, 0)
         val ran = exchange.isAttemptRunning || exchange.mayHaveRun
         closeIdleToSilentEndpoint(exchange)
         answer()
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -187,6 +187,7 @@
             metrics.gauge("hemlockpond.peer.datagrams.sent") { hosts.peers.sent }
             metrics.gauge("hemlockpond.peer.datagrams.refused") { hosts.peers.refused }
         }
+        metrics.gauge("hemlockpond.buffered.answer.bytes") { requests.bufferedBytes }
         metrics.gauge("hemlockpond.caller.connections") { connections.size }
         metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
