Close the slices of a host's earlier runs when it starts

Callers saw: after a power loss, refusals for tokens that nobody used (budget-unreachable), some for more than ten seconds.

Cause: only the next run on a host closes the slices of the run before, and it did so for a customer when it read the customer's record, which it does when a request comes or it is the customer's home. Until then the tokens stayed in the slice of an ended run.

Change: a host that starts reads the records of the customers that the marks of its earlier runs name, and closes their slices. It takes no slice for a customer that isn't wanted there.

Measured: EntryBudgetsTest.sliceOfAnEarlierRunIsClosedThoughItsCustomerDoesNotCome failed before (the slice of the earlier run stayed).

--- a/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/Account.kt
@@ -41,7 +41,7 @@
     val customer: CustomerId,
     private val self: RouterId,
     settings: BudgetSettings,
-    val createdAt: Duration
+    createdAt: Duration
 ) {
     val demand = Demand(settings.demandTimeConstant, settings.minDemandWindow)
     val waiting = ArrayList<Waiter>(0)
@@ -91,7 +91,18 @@
     var lastReportAt: Duration = -Duration.INFINITE
     var timerDueAt: Duration? = null
 
-    /** When the account was created, or the store last became reachable again. */
+    /**
+     * Whether requests of the customer came or are expected here. Otherwise the record is only read to
+     * close slices of ended runs, and no slice is taken.
+     */
+    var isWanted = false
+        private set
+
+    /** When the customer was first wanted here. */
+    var wantedSince: Duration = createdAt
+        private set
+
+    /** When the customer was first wanted, or the store last became reachable again. */
     var settlingSince: Duration = createdAt
     private var sequence = 0L
 
@@ -197,6 +208,15 @@
         }
     }
 
+    /** Requests of the customer come or are expected; returns whether this is new. */
+    fun want(now: Duration): Boolean {
+        if (isWanted) return false
+        isWanted = true
+        wantedSince = now
+        settlingSince = now
+        return true
+    }
+
     /** Ends the wait for the read sent at [askedAt], unless it has already timed out. */
     fun readAnswered(askedAt: Duration) {
         if (pendingReadSentAt == askedAt) pendingReadSentAt = null
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/BudgetHolder.kt
@@ -101,6 +101,7 @@
             return
         }
         val account = account(event.customer)
+        account.want(time)
         if (account.waiting.any { it.request == event.request }) return
         // During a store outage the slice can't grow, but a mark allows more as time passes.
         val cannotBeCovered = settings.hasNoPeers && !storeReachable &&
@@ -112,7 +113,8 @@
 
     private fun expect(customer: CustomerId) {
         val account = account(customer)
-        if (account.recordAsOf > -Duration.INFINITE) return
+        val isNew = account.want(time)
+        if (!isNew && account.recordAsOf > -Duration.INFINITE) return
         account.mustRead = true
         process(account)
     }
@@ -174,8 +176,10 @@
     private fun runEnded(event: BudgetEvent.RunEnded) {
         if (event.router == self) return
         deadRouters.onRunEnded(event.router, event.usedAtMost, time)
+        event.usedAtMost.keys.forEach { account(it) }
         for (account in accounts.values) {
-            if (event.router !in account.record.slices) continue
+            val mayHaveSlice = account.customer in event.usedAtMost
+            if (!mayHaveSlice && event.router !in account.record.slices) continue
             account.mustRead = true
             process(account)
         }
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceSizing.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceSizing.kt
@@ -59,7 +59,7 @@
         val even = settings.evenShare / holderCount(account)
         val ahead = all * (even + (1 - settings.evenShare) * demandShare(account, now))
         // The record doesn't show yet which other holders start at the same time.
-        val isJoining = now - account.createdAt < settings.settleTime
+        val isJoining = now - account.wantedSince < settings.settleTime
         return if (isJoining) minOf(ahead, all * settings.joinShare) else ahead
     }
 
@@ -71,7 +71,7 @@
     private fun demandShare(account: Account, now: Duration): Double {
         val wanted = wanted(account, now).toDouble()
         val share = wanted / (wanted + othersWanted(account))
-        val isNew = now - account.createdAt < settings.demandTimeConstant / 4
+        val isNew = now - account.wantedSince < settings.demandTimeConstant / 4
         return if (isNew) {
             minOf(
                 share,
--- a/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/budget/SliceWriter.kt
@@ -56,6 +56,7 @@
         val target = when {
             account.shortage > 0 -> sizing.refillTarget(account, now)
             sizing.isLow(account, now) -> sizing.refillTarget(account, now)
+            !account.isWanted -> unused
             account.confirmedSlice == null && settings.evenShare > 0 -> sizing.target(account, now)
             !reportDue(account, now) -> unused
             else -> sizing.target(account, now)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -99,6 +99,8 @@
                 delay(MARKS_RETRY_DELAY)
                 storeCalls++
             }
+            // Their slices are closed even if their customers' requests now come to other hosts.
+            marks.markedRuns.forEach { reportEarlierRun(it) }
             cachedRecords.values.toList().forEach { reportEarlierRuns(it.record) }
         }
     }
@@ -282,19 +284,22 @@
         if (!marks.isRead) return
         val host = self.value.substringBefore('/') + "/"
         for (router in record.slices.keys) {
-            if (router == self || !router.value.startsWith(host)) continue
-            if (!reportedRuns.add(router)) continue
-            val used = marks.usedAtMost(router)
-            handle(
-                if (used == null) {
-                    BudgetEvent.RouterDied(router, copies = null)
-                } else {
-                    BudgetEvent.RunEnded(router, used)
-                }
-            )
+            if (router != self && router.value.startsWith(host)) reportEarlierRun(router)
         }
     }
 
+    private fun reportEarlierRun(router: RouterId) {
+        if (!reportedRuns.add(router)) return
+        val used = marks.usedAtMost(router)
+        handle(
+            if (used == null) {
+                BudgetEvent.RouterDied(router, copies = null)
+            } else {
+                BudgetEvent.RunEnded(router, used)
+            }
+        )
+    }
+
     private fun writeRecord(action: BudgetAction.WriteRecord) {
         pendingWrites += action
         if (writeScheduled) return
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostMarks.kt
@@ -64,6 +64,9 @@
     /** Whether the marks of earlier runs have been read. */
     val isRead: Boolean get() = revision != null
 
+    /** The earlier runs whose marks are known. */
+    val markedRuns: Set<RouterId> get() = earlierRuns.keys
+
     /** Reads the marks of earlier runs; false if the store didn't answer. */
     suspend fun read(): Boolean {
         val read = store.read(key) as? ReadResult.Values ?: return false
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
@@ -18,7 +18,9 @@
 import org.hemlockpond.core.RequestId
 import org.hemlockpond.core.RouterId
 import org.hemlockpond.core.budget.BudgetRecord
+import org.hemlockpond.core.budget.MarkedUse
 import org.hemlockpond.core.budget.Slice
+import org.hemlockpond.core.budget.SpendMark
 import org.hemlockpond.core.entry.CallerLimits
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.EntryCustomer
@@ -153,6 +155,28 @@
         assertTrue(kept < held / 2, "$kept of $held tokens kept")
     }
 
+    /** Guards against tokens that stay in the slice of an ended run until its customer comes again. */
+    @Test
+    fun sliceOfAnEarlierRunIsClosedThoughItsCustomerDoesNotCome() = runTest {
+        val earlier = RouterId("edge-1/0")
+        val slice = Slice(domain, granted = PAID / 2)
+        val record = BudgetRecord().withPayment("total-$PAID", PAID).withSlice(earlier, slice)
+        store.put(key(0), encodeRecord(BudgetRecord.serializer(), record))
+        val mark = SpendMark(mapOf(CustomerId("c0") to MarkedUse(used = 100, pace = 0)))
+        val marks = StoredMarks("10.0.0.1:80", "boot-1", mapOf(earlier to RunMark(0, 0, mark)))
+        store.put("hemlockpond/marks/edge-1", encodeRecord(StoredMarks.serializer(), marks))
+        val budgets = budgets()
+        budgets.start()
+        budgets.configChanged(config(customers = 3))
+        runFor(budgets, 1.seconds)
+        assertEquals(emptySet(), record(0).slices.keys)
+        assertEquals(100, record(0).closedSpent)
+        // The host takes a slice as before once the customer comes.
+        budgets.expect(CustomerId("c0"))
+        runFor(budgets, 5.seconds)
+        assertTrue(record(0).slices.getValue(self).granted > PAID / 100)
+    }
+
     private companion object {
         const val PAID = 1_000_000L
         val STEP = 25.milliseconds
