Repeat a conflicting budget write from the record in the answer

Cause: after a conflict the store's answer holds the current record, but a slow host counted it as old when it handled the answer, as its age was taken from the start of the call. It then read the record again before the next write, and in that time other hosts had written it once more.

Change: a record counts as fresh from when its answer was handled. What is decided from its age as proof that a budget is exhausted still goes by the start of the call.

Measured: EntryBudgetsTest.writeThatConflictedIsRepeatedFromTheAnswer failed before (3 reads, 2 needed).

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -63,11 +63,15 @@
     private val marks: HostMarks,
     private val listener: BudgetListener
 ) {
-    /** @property requestedAt when the read or write that returned the record was started */
+    /**
+     * @property requestedAt when the read or write that returned the record was started
+     * @property answeredAt when its answer was handled
+     */
     private class CachedRecord(
         val revision: Long,
         val record: BudgetRecord,
-        val requestedAt: Duration
+        val requestedAt: Duration,
+        val answeredAt: Duration
     )
 
     private val holder = BudgetHolder(self, domain, settings)
@@ -183,13 +187,15 @@
     }
 
     /**
-     * Whether a cached record can replace a read: it is fresh, or it is older but has so many
-     * unassigned tokens that the only risk is a write conflict.
+     * Whether a cached record can replace a read: it has just been answered, or it is older but has so
+     * many unassigned tokens that the only risk is a write conflict. On a slow host a record is old when
+     * its answer is handled, but another read would be so, too.
      */
     private fun isReusable(cached: CachedRecord): Boolean {
-        val age = clock.now().elapsed - cached.requestedAt
+        val now = clock.now().elapsed
         val plenty = cached.record.available > cached.record.paid / PLENTY_FRACTION
-        return age < FRESH_AGE || (plenty && age < MAX_REUSE_AGE)
+        return now - cached.answeredAt < FRESH_AGE ||
+            (plenty && now - cached.requestedAt < MAX_REUSE_AGE)
     }
 
     private suspend fun fetch(asked: List<BudgetAction.ReadRecord>) {
@@ -248,7 +254,7 @@
         revision: Long,
         record: BudgetRecord
     ) {
-        val next = CachedRecord(revision, record, action.askedAt)
+        val next = CachedRecord(revision, record, action.askedAt, clock.now().elapsed)
         cache(action.customer, next)
         reportRecord(action, next)
     }
@@ -331,7 +337,7 @@
         for (action in batch - rest.toSet()) {
             val outcome = when (result) {
                 is WriteResult.Applied -> {
-                    cache(action.customer, CachedRecord(result.revision, action.record, now))
+                    cache(action.customer, CachedRecord(result.revision, action.record, now, now))
                     WriteOutcome.Applied(result.revision)
                 }
 
@@ -350,7 +356,7 @@
     private fun cacheStored(stored: StoredValue, requestedAt: Duration) {
         val record = decode(stored) ?: return
         val customer = CustomerId(stored.key.removePrefix(BudgetRecord.PREFIX))
-        cache(customer, CachedRecord(stored.revision, record, requestedAt))
+        cache(customer, CachedRecord(stored.revision, record, requestedAt, clock.now().elapsed))
     }
 
     /** Returns the writes that [current] doesn't contradict; none if it contradicts none of them. */
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
@@ -177,7 +177,31 @@
         assertTrue(record(0).slices.getValue(self).granted > PAID / 100)
     }
 
+    /** Guards against a slow host whose writes all conflict, as it reads again before each of them. */
+    @Test
+    fun writeThatConflictedIsRepeatedFromTheAnswer() = runTest {
+        // With more tokens left, a record is used for longer.
+        val used = BudgetRecord(mapOf("total-$PAID" to PAID), closedSpent = PAID * 9 / 10)
+        store.put(key(0), encodeRecord(BudgetRecord.serializer(), used))
+        val budgets = budgets()
+        budgets.start()
+        var readsAtConflict: Int? = null
+        store.beforeCommit = {
+            if (readsAtConflict == null) {
+                readsAtConflict = store.reads
+                writeAsAnotherHost(record(0), number = 1)
+                now += SLOW_CALL
+            }
+        }
+        budgets.expectAll(customers = 1)
+        runFor(budgets, 100.milliseconds)
+        assertTrue(self in record(0).slices)
+        assertEquals(readsAtConflict, store.reads)
+    }
+
     private companion object {
+        /** Longer than a record counts as fresh. */
+        val SLOW_CALL = 200.milliseconds
         const val PAID = 1_000_000L
         val STEP = 25.milliseconds
     }
