Read late callers' connections before a request is sent to an endpoint

Callers saw: nothing; endpoints got requests whose callers had left more than half a second before (GONE).

Cause: after a pause of the event loop a request was handled only once all connections had been read again. One that had been handled before the pause, and waited for an endpoint, a connection or its tokens, was sent as soon as that came, which the loop may read before it reads that the caller left.

Change: while the loop is late, a request is sent only after the next read of all connections.

Measured: LateLoopTest.requestOfACallerThatLeftIsNotSentAgain failed before (sent twice); it passes now.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -166,28 +166,17 @@
     private fun handle(next: Incoming) {
         isAnswering = true
         keepAlive = HttpUtil.isKeepAlive(next.request)
-        if (listener.isLoopLate) {
-            handleAfterNextRead(next)
-        } else {
+        if (!listener.isLoopLate) {
             listener.requestReceived(this, next.request, next.body, next.headReadAt)
+            return
         }
-    }
-
-    /**
-     * Handles a request once the event loop has read all connections again. After a long pause the
-     * loop reads old requests before it reads that their callers have left.
-     */
-    private fun handleAfterNextRead(next: Incoming) {
-        val loop = channel.eventLoop()
-        val handle = {
+        channel.eventLoop().runAfterNextRead {
             if (channel.isActive) {
                 listener.requestReceived(this, next.request, next.body, next.headReadAt)
             } else {
                 next.body.release()
             }
         }
-        // A scheduled task that a task adds is run after the next read, even without a delay.
-        loop.execute { loop.schedule({ handle() }, 0, TimeUnit.MILLISECONDS) }
     }
 
     /** Whether the connection closes after the current answer. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -67,6 +67,7 @@
     private val loop: EventLoop,
     private val crashReporter: CrashReporter,
     private val limitRecords: LimitRecords,
+    private val lateness: LoopLateness,
     private val statements: EndpointStatements
 ) : ExchangeListener {
     private val exchanges = HashMap<RequestId, EntryExchange>()
@@ -285,30 +286,41 @@
         val unsafe = exchange.request.route.retrySafety == RetrySafety.UNSAFE
         val maxIdle = if (unsafe) MAX_IDLE_IF_UNSAFE else Duration.INFINITE
         pool.acquire(address, maxIdle, exchange::mayUse) { connection, cause ->
-            when {
-                exchange.finished || exchange.attempts != action.attempt ->
-                    connection?.channel?.close()
-
-                connection == null -> {
-                    logFailedAttempt(exchange, "not connected: ${cause?.message}")
-                    perform(
-                        dispatcher.attemptEnded(
-                            exchange.request.id,
-                            AttemptEnd.NotSent,
-                            now(),
-                            true
-                        )
-                    )
-                }
+            if (lateness.isLate(now())) {
+                // The caller may have left while the request waited for the connection, or before.
+                loop.runAfterNextRead { sendOn(connection, exchange, action, cause) }
+            } else {
+                sendOn(connection, exchange, action, cause)
+            }
+        }
+    }
 
-                else -> {
-                    exchange.attach(connection)
-                    connection.send(
+    /** Sends the request on [connection]; null if there is none because of [cause]. */
+    private fun sendOn(
+        connection: EndpointConnection?,
+        exchange: EntryExchange,
+        action: EntryAction.Send,
+        cause: Throwable?
+    ) {
+        when {
+            exchange.finished || exchange.attempts != action.attempt ->
+                connection?.channel?.close()
+
+            connection == null || !connection.channel.isActive -> {
+                logFailedAttempt(exchange, "not connected: ${cause?.message}")
+                perform(
+                    dispatcher.attemptEnded(
                         exchange.request.id,
-                        endpointRequest(exchange, action),
-                        exchange
+                        AttemptEnd.NotSent,
+                        now(),
+                        true
                     )
-                }
+                )
+            }
+
+            else -> {
+                exchange.attach(connection)
+                connection.send(exchange.request.id, endpointRequest(exchange, action), exchange)
             }
         }
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -89,6 +89,7 @@
     private val crashRecords = CrashRecords(id, store, settings, scope, clock, CrashEvents())
     private val limitRecords = LimitRecords(id, store, settings, scope, clock, limits)
     private val sharedRecords = SharedRecords(crashRecords, limitRecords)
+    private val lateness = LoopLateness(settings.lateLoopLimit)
     private val requests: EntryRequests =
         EntryRequests(
             settings,
@@ -100,7 +101,8 @@
             metrics,
             loop,
             crashRecords,
-            limitRecords
+            limitRecords,
+            lateness
         ) { applyEndpointChanges(directory.processLeaves(it)) }
     private val readerRole = StoreReaderRole(hostName, settings.reader) { broker.hosts }
     private val fleetWatcher = FleetWatcher(
@@ -123,7 +125,6 @@
     private var endpointListRead = false
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
-    private val lateness = LoopLateness(settings.lateLoopLimit)
     private val entryStop =
         EntryStop(settings, loop, clock, requests, connections, { callerListener }, budgets::drain)
 
