--- a/review/standin/Store.java
+++ b/review/standin/Store.java
@@ -45,8 +45,12 @@
         return server.getAddress().getAddress().getHostAddress() + ":" + server.getAddress().getPort();
     }
 
-    synchronized void put(String key, String text) {
-        write(key, Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)), 0, ++revision);
+    void put(String key, String text) {
+        put(key, text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    synchronized void put(String key, byte[] bytes) {
+        write(key, Base64.getEncoder().encodeToString(bytes), 0, ++revision);
         notifyAll();
     }
 
