--- a/review/4/Case4.java
+++ b/review/4/Case4.java
@@ -3,16 +3,16 @@
 import java.util.List;
 import java.util.Random;
 
-/** All processes are killed while another writer's unreadable entries stand among those of the runners. */
+/** All processes are killed while one unreadable entry of another writer stands among those of the runners. */
 final class Case4 {
-    private static final int ODD_ENTRIES = 100;
+    private static final String ODD_KEY = "servers/i-odd&more";
 
-    /** Below value_bytes (1,048,576). */
+    /** Below value_bytes (1,048,576), and about as much as a page of the list holds. */
     private static final int ODD_BYTES = 1_000_000;
 
     private static final long DOWN_MS = 800;
 
-    /** How long after the restart the other writer takes its entries away. */
+    /** How long after the restart the other writer takes its entry away. */
     private static final long ODD_MS = 10_000;
 
     /** recovery_s. */
@@ -27,7 +27,7 @@
     private static boolean run(Bed bed) throws Exception {
         bed.configure(7, 3_466_601, "");
         for (int i = 1; i <= 3; i++) {
-            bed.runner("i-" + i, "registry", call -> {
+            bed.runner("i-runner-" + i, "registry", call -> {
                 call.body();
                 call.answer(200, "done " + call.id());
             });
@@ -41,8 +41,8 @@
         if (Bed.TROUBLE) {
             byte[] bytes = new byte[ODD_BYTES];
             new Random(1).nextBytes(bytes);
-            for (int i = 0; i < ODD_ENTRIES; i++) bed.store.put("servers/odd-" + i, bytes);
-            bed.note("another writer has written " + ODD_ENTRIES + " entries of " + ODD_BYTES + " bytes that can't be read");
+            bed.store.put(ODD_KEY, bytes);
+            bed.note("another writer has written " + ODD_KEY + " with " + ODD_BYTES + " bytes that can't be read");
         }
         for (Bed.Router machine : machines) machine.process.destroyForcibly().waitFor();
         bed.note("all processes were killed");
@@ -50,10 +50,10 @@
         for (Bed.Router machine : machines) bed.startProcess(machine);
         Bed.sleep(ODD_MS);
         if (Bed.TROUBLE) {
-            for (int i = 0; i < ODD_ENTRIES; i++) bed.store.delete("servers/odd-" + i);
-            bed.note("the other writer has taken its entries away");
+            bed.store.delete(ODD_KEY);
+            bed.note("the other writer has taken its entry away");
         }
-        // The rule counts from the restart; this waits for recovery_s from the end of the odd entries, too.
+        // The rule counts from the restart; this waits for recovery_s from the end of the odd entry, too.
         Bed.sleep(RECOVERY_MS + 2000);
         int after = served(bed, machines, "after");
         for (Bed.Router machine : machines) {
