Crash the runner of review case 2 earlier

Cause: the request must still be in writing at the crash; the margin was small. Change: the crash comes 120 ms after the first half of the answer, not 200 ms.

--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -14,7 +14,7 @@
     private static final int RECEIVE_BUFFER = 8192;
     private static final int READ_BYTES = 100_000;
     private static final long READ_PAUSE_MS = 20;
-    private static final long CRASH_AFTER_MS = 200;
+    private static final long CRASH_AFTER_MS = 120;
 
     private static final AtomicInteger whole = new AtomicInteger();
     private static final AtomicInteger cut = new AtomicInteger();
