Tell the end of an endpoint's output from a lost connection

Cause: Netty's HTTP codec ends an answer without a length at each close of the channel. A failed read raises an exception first, a failed write closes the channel without one, and Netty writes before it reads when both are ready. The calls of plain services by the product's own router and the calls of the store had the same fault.

Change: a handler before the codec lets Netty report the end of the peer's output, and reports every other close as a lost connection before the codec sees it. A failed attempt names the failed write in its log line.

An answer that ends before its request has been written is still whole.

--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/EndpointClient.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/EndpointClient.kt
@@ -33,6 +33,7 @@
 import org.hemlockpond.router.CallerRequest
 import org.hemlockpond.router.UpstreamCall
 import org.hemlockpond.router.Usage
+import org.hemlockpond.store.ConnectionLossHandler
 
 /** Reports of attempts, called on the traffic thread. */
 internal interface AttemptListener {
@@ -69,7 +70,8 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline().addLast(HttpClientCodec(), handler)
+                        channel.pipeline()
+                            .addLast(ConnectionLossHandler(), HttpClientCodec(), handler)
                     }
                 }
             )
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -110,6 +110,9 @@
     private var reusable = true
     private var requestWritten = false
 
+    /** Why the current request couldn't be written. */
+    private var writeFailure: Throwable? = null
+
     /** Whether an earlier request was sent on this connection. */
     private var isUsed = false
     private var idleTimeout: Duration? = null
@@ -121,9 +124,11 @@
     fun send(id: RequestId, request: FullHttpRequest, sink: AnswerSink) {
         exchange = Exchange(id, sink)
         requestWritten = false
+        writeFailure = null
         reusable = true
         channel.writeAndFlush(request).addListener {
             requestWritten = it.isSuccess
+            writeFailure = it.cause()
             // The answer can be complete before a large request has been written.
             if (it.isSuccess && exchange == null &&
                 reusable
@@ -253,9 +258,17 @@
 
     @Deprecated("Netty's own deprecation of the handler method")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        fail(cause.message ?: cause.javaClass.simpleName, connectionLost = true)
+        val failed = writeFailure
+        val text = if (failed == null) {
+            describe(cause)
+        } else {
+            "writing the request failed: ${describe(failed)}"
+        }
+        fail(text, connectionLost = true)
     }
 
+    private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
+
     private companion object {
         /** Several times the size of an answer to another request that arrives late. */
         const val MAX_SURPLUS_BYTES = 64 * 1024
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
@@ -17,6 +17,7 @@
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.store.ConnectionLossHandler
 
 internal class EndpointConnectionPool(
     private val loop: EventLoop,
@@ -94,8 +95,12 @@
             .handler(
                 object : ChannelInitializer<SocketChannel>() {
                     override fun initChannel(channel: SocketChannel) {
-                        channel.pipeline()
-                            .addLast(connection.ByteCounter(), HttpClientCodec(), connection)
+                        channel.pipeline().addLast(
+                            ConnectionLossHandler(),
+                            connection.ByteCounter(),
+                            HttpClientCodec(),
+                            connection
+                        )
                     }
                 }
             )
--- a/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
@@ -76,6 +76,7 @@
         val handler = AnswerHandler(continuation)
         val connected = bootstrap {
             addLast(ReadTimeoutHandler(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS))
+            addLast(ConnectionLossHandler())
             addLast(HttpClientCodec())
             addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
             addLast(handler)
@@ -95,6 +96,7 @@
     fun stream(address: InetSocketAddress, path: String, body: String): Flow<String> =
         callbackFlow {
             val connected = bootstrap {
+                addLast(ConnectionLossHandler())
                 addLast(HttpClientCodec())
                 addLast(ContentHandler())
                 addLast(JsonObjectDecoder(MAX_ANSWER_BYTES))
--- /dev/null
+++ b/store/src/test/kotlin/org/hemlockpond/store/ConnectionLossHandlerTest.kt
@@ -0,0 +1,54 @@
+package org.hemlockpond.store
+
+import io.netty.channel.ChannelHandlerContext
+import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.embedded.EmbeddedChannel
+import io.netty.channel.socket.ChannelInputShutdownEvent
+import java.io.IOException
+import kotlin.test.Test
+import kotlin.test.assertEquals
+import kotlin.test.assertFalse
+
+class ConnectionLossHandlerTest {
+    private class Recorder : ChannelInboundHandlerAdapter() {
+        val seen = ArrayList<String>()
+
+        override fun userEventTriggered(context: ChannelHandlerContext, event: Any) {
+            seen += event.javaClass.simpleName
+        }
+
+        override fun channelInactive(context: ChannelHandlerContext) {
+            seen += "closed"
+        }
+
+        @Deprecated("Netty's own deprecation of the handler method")
+        override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
+            seen += cause.message.orEmpty()
+        }
+    }
+
+    private val recorder = Recorder()
+    private val channel = EmbeddedChannel(ConnectionLossHandler(), recorder)
+
+    @Test
+    fun closeWithoutTheEndOfTheInputIsALoss() {
+        channel.close()
+        assertEquals(listOf("connection lost", "closed"), recorder.seen)
+    }
+
+    @Test
+    fun endOfTheInputClosesTheConnection() {
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        assertEquals(listOf("ChannelInputShutdownEvent", "closed"), recorder.seen)
+        assertFalse(channel.isOpen)
+    }
+
+    /** Guards against taking a failed read for the end of the input. */
+    @Test
+    fun endOfTheInputAfterAFailedReadIsALoss() {
+        channel.pipeline().fireExceptionCaught(IOException("reset"))
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        assertEquals(listOf("reset", "connection lost", "closed"), recorder.seen)
+        assertFalse(channel.isOpen)
+    }
+}
