Treat a store's answer with a cut head or a bad chunk as a failed call

Report of other operators: a server stopped in the middle of its answer's head, and clients got an empty or short answer as a whole one.

Here the store's client did so: the aggregator passes on what broke off as a short answer, and nothing asked whether it had been decoded. A cut 404 counted as an absent key or a lapsed lease. Answers of endpoints are not affected: their attempts end as broken.

Change: the client checks the decoder's result and reports a failed call.

Result: JsonHttpClientTest.answerThatEndsWithinItsHeadIsNoAnswer and answerWithAnUnreadableChunkIsNoAnswer failed before and pass now.

--- a/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
@@ -171,12 +171,17 @@
         private var finished = false
 
         override fun channelRead0(context: ChannelHandlerContext, answer: FullHttpResponse) {
-            finish(
+            // The aggregator passes on a head or body that broke off as a short answer.
+            val failure = answer.decoderResult().cause()
+            val result = if (failure == null) {
                 HttpResult.Answer(
                     answer.status().code(),
                     answer.content().toString(Charsets.UTF_8)
                 )
-            )
+            } else {
+                HttpResult.Failed("unreadable answer: ${describe(failure)}", sent)
+            }
+            finish(result)
             context.close()
         }
 
--- a/store/src/test/kotlin/org/hemlockpond/store/JsonHttpClientTest.kt
+++ b/store/src/test/kotlin/org/hemlockpond/store/JsonHttpClientTest.kt
@@ -72,6 +72,31 @@
         assertEquals(HttpResult.Answer(200, "{}"), post(bytes = 10))
     }
 
+    /** Guards against an empty answer in place of one whose head is cut off. */
+    @Test
+    fun answerThatEndsWithinItsHeadIsNoAnswer() {
+        val head = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nX-A: b\r\n\r\n"
+        val cuts = ArrayDeque((1 until head.length).toList())
+        serve {
+            it.write(head.take(cuts.first()))
+            it.shutdownOutput()
+        }
+        while (cuts.isNotEmpty()) {
+            val result = assertIs<HttpResult.Failed>(post(bytes = 10), head.take(cuts.first()))
+            assertTrue(result.sent)
+            cuts.removeFirst()
+        }
+    }
+
+    /** Guards against a short answer in place of one with an unreadable chunk. */
+    @Test
+    fun answerWithAnUnreadableChunkIsNoAnswer() {
+        serve {
+            it.write("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\nzz\r\n")
+        }
+        assertIs<HttpResult.Failed>(post(bytes = 10))
+    }
+
     private companion object {
         const val OPEN_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
         const val SMALL_BUFFER = 8 * 1024
