Count an endpoint that ends its connection within a head as lost

Cause: the codec reports a connection that ends within the head of an answer as an unreadable head, and the attempt ended without the mark of a lost connection. The crash of an endpoint while it writes its head thus raised no suspicion against the parts of the prompt.

Change: such a head counts as a lost connection. The check that asks whether the endpoint still listens decides as for any other lost connection.

Result: EndpointConnectionTest.answerThatEndsWithinItsHeadIsBroken (each prefix of three heads) failed before in this mark alone and passes now.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -9,6 +9,7 @@
 import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.handler.codec.PrematureChannelClosureException
 import io.netty.handler.codec.http.FullHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -181,7 +182,12 @@
         when {
             message.decoderResult().isFailure -> {
                 ReferenceCountUtil.release(message)
-                fail("unreadable answer", connectionLost = false)
+                // The codec reports a connection that ends within a head as an unreadable head.
+                val cause = message.decoderResult().cause()
+                fail(
+                    "unreadable answer",
+                    connectionLost = cause is PrematureChannelClosureException
+                )
             }
 
             current == null -> {
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -21,6 +21,7 @@
 import kotlin.test.AfterTest
 import kotlin.test.Test
 import kotlin.test.assertEquals
+import kotlin.test.assertFalse
 import kotlin.test.assertIs
 import kotlin.test.assertTrue
 import kotlin.time.Duration.Companion.milliseconds
@@ -193,6 +194,34 @@
         assertEquals(End.Whole("whole"), sink.awaitEnd())
     }
 
+    /** Guards against an answer whose head is cut off and which passes for an empty one. */
+    @Test
+    fun answerThatEndsWithinItsHeadIsBroken() {
+        val framings =
+            listOf("Connection: close", "Content-Length: 12", "Transfer-Encoding: chunked")
+        for (framing in framings) {
+            val head = "HTTP/1.1 200 OK\r\n$framing\r\nX-A: b\r\n\r\n"
+            for (cut in 1 until head.length) {
+                serve {
+                    readHead(it)
+                    it.write(head.take(cut))
+                    it.close()
+                }
+                val sink = Sink()
+                send(sink, requestBytes = 0)
+                val end = assertIs<End.Broken>(sink.awaitEnd(), head.take(cut))
+                assertTrue(end.connectionLost, head.take(cut))
+                assertFalse(sink.headReceived, head.take(cut))
+            }
+        }
+    }
+
+    /** Reads the request, as the close of a socket with unread bytes resets the connection. */
+    private fun readHead(socket: Socket) {
+        val read = StringBuilder()
+        while (!read.endsWith("\r\n\r\n")) read.append(socket.getInputStream().read().toChar())
+    }
+
     private companion object {
         val ID = RequestId("r-1")
         const val OPEN_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
