Count the end of an answer without a length once its request is written

Cause: a process that ends with unread bytes may end its output before its system resets the connection, as Java's sockets do.

Change: while a request is still being written, the end of the peer's output counts only once the rest has been written.

An endpoint that ends its answer early and reads on is still answered in full (test).

--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -188,12 +188,29 @@
             it.write("${OPEN_HEAD}whole")
             it.shutdownOutput()
             Thread.sleep(RESET_DELAY.inWholeMilliseconds)
+            it.getInputStream().readAllBytes()
         }
         val sink = Sink()
         send(sink, LARGE_REQUEST)
         assertEquals(End.Whole("whole"), sink.awaitEnd())
     }
 
+    /** Guards against taking a part of an answer for all of it if a reset follows its end. */
+    @Test
+    fun resetAfterTheEndOfTheOutputBreaksAnAnswerWithoutLength() {
+        serve {
+            it.write("${OPEN_HEAD}half")
+            it.shutdownOutput()
+            Thread.sleep(RESET_DELAY.inWholeMilliseconds)
+            it.reset()
+        }
+        val sink = Sink()
+        send(sink, LARGE_REQUEST)
+        val end = assertIs<End.Broken>(sink.awaitEnd())
+        assertTrue(end.connectionLost)
+        assertTrue(end.cause.startsWith("writing the request failed"), end.cause)
+    }
+
     /** Guards against an answer whose head is cut off and which passes for an empty one. */
     @Test
     fun answerThatEndsWithinItsHeadIsBroken() {
--- a/store/src/test/kotlin/org/hemlockpond/store/ConnectionLossHandlerTest.kt
+++ b/store/src/test/kotlin/org/hemlockpond/store/ConnectionLossHandlerTest.kt
@@ -5,6 +5,7 @@
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.channel.socket.ChannelInputShutdownEvent
 import java.io.IOException
+import java.util.concurrent.TimeUnit
 import kotlin.test.Test
 import kotlin.test.assertEquals
 import kotlin.test.assertFalse
@@ -51,4 +52,32 @@
         assertEquals(listOf("reset", "connection lost", "closed"), recorder.seen)
         assertFalse(channel.isOpen)
     }
+
+    @Test
+    fun endOfTheInputCountsOnceTheRequestIsWritten() {
+        channel.write("request")
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        assertEquals(emptyList(), recorder.seen)
+        channel.flush()
+        assertEquals(listOf("ChannelInputShutdownEvent", "closed"), recorder.seen)
+    }
+
+    /** Guards against taking the end of the output of a peer that then resets for its whole answer. */
+    @Test
+    fun endOfTheInputBeforeAFailedWriteIsALoss() {
+        channel.write("request")
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        channel.close()
+        assertEquals(listOf("connection lost", "closed"), recorder.seen)
+    }
+
+    /** Guards against connections that stay open because their peer never reads on. */
+    @Test
+    fun peerThatDoesNotReadTheRestOfTheRequestIsLost() {
+        channel.write("request")
+        channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
+        channel.advanceTimeBy(ConnectionLossHandler.MAX_HALF_CLOSED_SECONDS, TimeUnit.SECONDS)
+        channel.runScheduledPendingTasks()
+        assertEquals(listOf("connection lost", "closed"), recorder.seen)
+    }
 }
