--- a/router/src/test/kotlin/org/hemlockpond/router/endpoint/EndpointClientTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/endpoint/EndpointClientTest.kt
@@ -156,6 +156,16 @@
         assertIs<AttemptOutcome.Answered>(outcome)
     }
 
+    /** Guards against an empty answer in place of one whose head is cut off. */
+    @Test
+    fun serviceAnswerThatEndsWithinItsHeadIsNoAnswer() {
+        val outcome = outcomeOf(bytes = 10) {
+            it.write("HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n")
+            it.shutdownOutput()
+        }
+        assertEquals(AttemptOutcome.Crashed, outcome)
+    }
+
     private companion object {
         const val OPEN_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
         const val SMALL_BUFFER = 8 * 1024
