--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -264,13 +264,8 @@
 
     @Deprecated("Netty's own deprecation of the handler method")
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
-        val failed = writeFailure
-        val text = if (failed == null) {
-            describe(cause)
-        } else {
-            "writing the request failed: ${describe(failed)}"
-        }
-        fail(text, connectionLost = true)
+        val write = writeFailure?.let { "; writing the request failed: ${describe(it)}" }
+        fail(describe(cause) + write.orEmpty(), connectionLost = true)
     }
 
     private fun describe(cause: Throwable): String = cause.message ?: cause.javaClass.simpleName
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -165,7 +165,7 @@
         mayReset.countDown()
         val end = assertIs<End.Broken>(sink.awaitEnd())
         assertTrue(end.connectionLost)
-        assertTrue(end.cause.startsWith("writing the request failed"), end.cause)
+        assertTrue(end.cause.startsWith("connection lost; writing the request failed"), end.cause)
     }
 
     @Test
@@ -208,7 +208,8 @@
         send(sink, LARGE_REQUEST)
         val end = assertIs<End.Broken>(sink.awaitEnd())
         assertTrue(end.connectionLost)
-        assertTrue(end.cause.startsWith("writing the request failed"), end.cause)
+        val cause = "connection lost after the end of the peer's output; writing the request failed"
+        assertTrue(end.cause.startsWith(cause), end.cause)
     }
 
     /** Guards against an answer whose head is cut off and which passes for an empty one. */
--- a/store/src/main/kotlin/org/hemlockpond/store/ConnectionLossHandler.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/ConnectionLossHandler.kt
@@ -18,8 +18,8 @@
 import java.io.IOException
 import java.util.concurrent.TimeUnit
 
-/** The connection was closed before the peer ended its output. */
-class ConnectionLostException : IOException("connection lost") {
+/** The connection was closed before the peer ended its output, or before it read all of a request. */
+class ConnectionLostException(message: String) : IOException(message) {
     // Raised at each local close too, where a stack trace says nothing.
     override fun fillInStackTrace(): Throwable = this
 }
@@ -78,7 +78,10 @@
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
-        if (!hasInputEnded) context.fireExceptionCaught(ConnectionLostException())
+        if (!hasInputEnded) {
+            val suffix = if (isEndPending) " after the end of the peer's output" else ""
+            context.fireExceptionCaught(ConnectionLostException("connection lost$suffix"))
+        }
         context.fireChannelInactive()
     }
 
--- a/store/src/test/kotlin/org/hemlockpond/store/ConnectionLossHandlerTest.kt
+++ b/store/src/test/kotlin/org/hemlockpond/store/ConnectionLossHandlerTest.kt
@@ -68,7 +68,7 @@
         channel.write("request")
         channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
         channel.close()
-        assertEquals(listOf("connection lost", "closed"), recorder.seen)
+        assertEquals(listOf(LOST_AFTER_END, "closed"), recorder.seen)
     }
 
     /** Guards against connections that stay open because their peer never reads on. */
@@ -78,6 +78,10 @@
         channel.pipeline().fireUserEventTriggered(ChannelInputShutdownEvent.INSTANCE)
         channel.advanceTimeBy(ConnectionLossHandler.MAX_HALF_CLOSED_SECONDS, TimeUnit.SECONDS)
         channel.runScheduledPendingTasks()
-        assertEquals(listOf("connection lost", "closed"), recorder.seen)
+        assertEquals(listOf(LOST_AFTER_END, "closed"), recorder.seen)
+    }
+
+    private companion object {
+        const val LOST_AFTER_END = "connection lost after the end of the peer's output"
     }
 }
