Force the order of the end, the reset and the request in two new tests

JsonHttpClientTest.answerThatEndsWithinItsHeadIsNoAnswer: its server answered before it had read the request, so that the client had truly sent nothing yet when the connection ended, and sent was false. EndpointConnectionTest.resetAfterTheEndOfTheOutputBreaksAnAnswerWithoutLength: the reset came before a read had seen the end of the output (the cause 'connection lost; writing the request failed' shows it).

Change: the server reads the head of the request before its script; the reset waits until the channel's input is shut down. No check is weaker.

--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -4,6 +4,7 @@
 import io.netty.buffer.Unpooled
 import io.netty.channel.MultiThreadIoEventLoopGroup
 import io.netty.channel.nio.NioIoHandler
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpRequest
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
@@ -198,14 +199,18 @@
     /** Guards against taking a part of an answer for all of it if a reset follows its end. */
     @Test
     fun resetAfterTheEndOfTheOutputBreaksAnAnswerWithoutLength() {
+        val mayReset = CountDownLatch(1)
         serve {
             it.write("${OPEN_HEAD}half")
             it.shutdownOutput()
-            Thread.sleep(RESET_DELAY.inWholeMilliseconds)
+            mayReset.await()
             it.reset()
         }
         val sink = Sink()
-        send(sink, LARGE_REQUEST)
+        val channel = send(sink, LARGE_REQUEST).channel as SocketChannel
+        // Before the reset, a read has to see the end of the output.
+        while (!channel.isInputShutdown) Thread.sleep(POLL_INTERVAL.inWholeMilliseconds)
+        mayReset.countDown()
         val end = assertIs<End.Broken>(sink.awaitEnd())
         assertTrue(end.connectionLost)
         val cause = "connection lost after the end of the peer's output; writing the request failed"
@@ -248,5 +253,6 @@
         /** More than the buffers of both sides hold. */
         const val LARGE_REQUEST = 16 * 1024 * 1024
         val RESET_DELAY = 50.milliseconds
+        val POLL_INTERVAL = 5.milliseconds
     }
 }
--- a/store/src/test/kotlin/org/hemlockpond/store/JsonHttpClientTest.kt
+++ b/store/src/test/kotlin/org/hemlockpond/store/JsonHttpClientTest.kt
@@ -28,16 +28,24 @@
         server.close()
     }
 
+    /** Runs [script] on each connection, once the head of its request has been read. */
     private fun serve(script: (Socket) -> Unit) = thread(isDaemon = true) {
         while (!server.isClosed) {
             try {
-                script(server.accept())
+                val socket = server.accept()
+                readHead(socket)
+                script(socket)
             } catch (_: java.io.IOException) {
                 // The client or the test has closed the socket.
             }
         }
     }
 
+    private fun readHead(socket: Socket) {
+        val read = StringBuilder()
+        while (!read.endsWith("\r\n\r\n")) read.append(socket.getInputStream().read().toChar())
+    }
+
     private fun Socket.write(text: String) = getOutputStream().write(text.toByteArray())
 
     private fun Socket.reset() {
