Log bytes from endpoints that belong to no answer

HP1820 and a gauge now name where they came and which request waited. Netty's client codec hides how many bytes it has not decoded; the decoder of answers is therefore used directly, with the method of the current request for answers to HEAD.

No change of what is answered.

--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -74,7 +74,8 @@
     ENDPOINT_LIMIT(1816, Level.INFO, "an endpoint named a limit, or none any more"),
     ENDPOINT_PAUSED(1817, Level.INFO, "an endpoint refused a request and named a pause"),
     HOST_REGISTERED(1818, Level.INFO, "this host registered and found the others of its domain"),
-    HOME_REFUSED(1819, Level.INFO, "the home of a customer's tokens refused a reservation")
+    HOME_REFUSED(1819, Level.INFO, "the home of a customer's tokens refused a reservation"),
+    ENDPOINT_SURPLUS(1820, Level.INFO, "an endpoint sent bytes that belong to no answer")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -44,8 +44,34 @@
     fun broken(cause: String, connectionLost: Boolean)
 }
 
-internal class EndpointConnection(private val dialect: EntryDialect, private val owner: Owner) :
-    ChannelInboundHandlerAdapter() {
+/** Where an endpoint sent bytes that belong to no answer to the current request. */
+internal enum class SurplusPlace(val label: String) {
+    BETWEEN_REQUESTS("between requests"),
+    AFTER_ANSWER("after an answer"),
+    OTHER_ANSWER("an answer to another request"),
+    UNREADABLE("unreadable")
+}
+
+/**
+ * Bytes from an endpoint that belong to no answer to the current request.
+ *
+ * @property current the request that waits for its answer, or whose answer has just ended; null
+ *   between requests
+ * @property named the request that the bytes name, if they are an answer to another one
+ * @property bytes their number as far as it is known
+ */
+internal data class Surplus(
+    val place: SurplusPlace,
+    val current: RequestId?,
+    val named: RequestId? = null,
+    val bytes: Int? = null
+)
+
+internal class EndpointConnection(
+    private val dialect: EntryDialect,
+    private val decoder: AnswerDecoder,
+    private val owner: Owner
+) : ChannelInboundHandlerAdapter() {
     interface Owner {
         /**
          * The connection can be reused. The endpoint keeps it open for [idleTimeout], or for an
@@ -54,6 +80,8 @@
         fun connectionIdle(connection: EndpointConnection, idleTimeout: Duration?)
 
         fun connectionClosed(connection: EndpointConnection)
+
+        fun surplusReceived(surplus: Surplus)
     }
 
     private class Exchange(val id: RequestId, val sink: AnswerSink) {
@@ -92,6 +120,9 @@
             if (exchange == null) {
                 // Bytes between two requests belong to no answer.
                 ReferenceCountUtil.release(message)
+                owner.surplusReceived(
+                    Surplus(SurplusPlace.BETWEEN_REQUESTS, current = null, bytes = count)
+                )
                 reusable = false
                 channel.close()
                 return
@@ -127,6 +158,7 @@
         requestWritten = false
         writeFailure = null
         reusable = true
+        decoder.method = request.method()
         channel.writeAndFlush(request).addListener {
             requestWritten = it.isSuccess
             writeFailure = it.cause()
@@ -184,15 +216,19 @@
                 ReferenceCountUtil.release(message)
                 // The codec reports a connection that ends within a head as an unreadable head.
                 val cause = message.decoderResult().cause()
-                fail(
-                    "unreadable answer",
-                    connectionLost = cause is PrematureChannelClosureException
-                )
+                val connectionLost = cause is PrematureChannelClosureException
+                if (!connectionLost) {
+                    owner.surplusReceived(Surplus(SurplusPlace.UNREADABLE, current?.id))
+                }
+                fail("unreadable answer", connectionLost)
             }
 
             current == null -> {
                 // Data without a current request is unexpected.
                 ReferenceCountUtil.release(message)
+                if (channel.isActive) {
+                    owner.surplusReceived(Surplus(SurplusPlace.BETWEEN_REQUESTS, current = null))
+                }
                 reusable = false
                 channel.close()
             }
@@ -212,6 +248,9 @@
         if (interim) return
         current.sink.endpointStated(answer)
         if (foreign) {
+            owner.surplusReceived(
+                Surplus(SurplusPlace.OTHER_ANSWER, current.id, named = answer.requestId)
+            )
             reusable = false
             return
         }
@@ -242,6 +281,10 @@
         if (!last || exchange !== current) return
         exchange = null
         isUsed = true
+        val surplus = decoder.undecodedBytes
+        if (surplus > 0) {
+            owner.surplusReceived(Surplus(SurplusPlace.AFTER_ANSWER, current.id, bytes = surplus))
+        }
         current.sink.ended(current.lengthKnown)
         when {
             !reusable -> channel.close()
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnectionPool.kt
@@ -12,11 +12,13 @@
 import io.netty.channel.WriteBufferWaterMark
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpClientCodec
+import io.netty.handler.codec.http.HttpRequestEncoder
 import java.net.ConnectException
 import java.net.InetSocketAddress
 import kotlin.time.Duration
+import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
+import org.hemlockpond.router.log
 import org.hemlockpond.store.ConnectionLossHandler
 
 internal class EndpointConnectionPool(
@@ -37,6 +39,10 @@
     var openedConnections = 0L
         private set
 
+    /** How often an endpoint sent bytes that belong to no answer to the current request. */
+    var surplusCount = 0L
+        private set
+
     /**
      * Passes [done] a connection to [address]: an idle one that was used within [maxIdle] and that
      * [mayUse] accepts, or a new one. If the endpoint can't be reached, [done] gets null and the cause.
@@ -79,7 +85,8 @@
 
     private fun open(address: InetSocketAddress, done: (EndpointConnection?, Throwable?) -> Unit) {
         openedConnections++
-        val connection = EndpointConnection(dialect, Owner(address))
+        val decoder = AnswerDecoder()
+        val connection = EndpointConnection(dialect, decoder, Owner(address))
         Bootstrap()
             .group(loop)
             .channel(NioSocketChannel::class.java)
@@ -98,7 +105,8 @@
                         channel.pipeline().addLast(
                             ConnectionLossHandler(),
                             connection.ByteCounter(),
-                            HttpClientCodec(),
+                            HttpRequestEncoder(),
+                            decoder,
                             connection
                         )
                     }
@@ -146,6 +154,18 @@
         override fun connectionClosed(connection: EndpointConnection) {
             this@EndpointConnectionPool.idle[address]?.removeIf { it.connection === connection }
         }
+
+        override fun surplusReceived(surplus: Surplus) {
+            surplusCount++
+            log(
+                LogEvent.ENDPOINT_SURPLUS,
+                "address" to address,
+                "place" to surplus.place.label,
+                "request" to surplus.current,
+                "named" to surplus.named,
+                "bytes" to surplus.bytes
+            )
+        }
     }
 
     private companion object {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -177,6 +177,7 @@
         metrics.gauge("hemlockpond.open.requests") { dispatcher.openRequests }
         metrics.gauge("hemlockpond.waiting.requests") { dispatcher.waitingRequests }
         metrics.gauge("hemlockpond.endpoint.connections.opened") { pool.openedConnections }
+        metrics.gauge("hemlockpond.endpoint.surplus") { pool.surplusCount }
         metrics.gauge("hemlockpond.budget.store.calls") { budgets.storeCalls }
         metrics.gauge("hemlockpond.budget.store.lost") { if (budgets.isStoreReachable) 0 else 1 }
         metrics.gauge("hemlockpond.peer.hosts") { broker.hosts.size }
