Refuse a head that holds a second status line

The real answer that follows is whole, so its status line then stands within the head: in the reason, or in the value of the field in which the part was cut. A part that ends with a field or within a field's name was refused already, as a name has no slash.

Such a head breaks the attempt off, also if it looks like an interim answer or one to another request, for which the caller waited until its deadline.

JoinedAnswerTest.partOfACopyBeforeAnAnswerMakesNoSuccess (each cut of a head) and partOfAnInterimAnswerIsNotWaitedFor failed before and pass.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -243,6 +243,11 @@
     }
 
     private fun headRead(current: Exchange, response: HttpResponse) {
+        if (response.holdsStatusLine) {
+            owner.surplusReceived(Surplus(SurplusPlace.UNREADABLE, current.id))
+            fail("parts of two answers in one head", connectionLost = false)
+            return
+        }
         val interim = response.status().codeClass() == HttpStatusClass.INFORMATIONAL
         val answer = dialect.parseAnswerHead(response)
         val foreign = answer.requestId != null && answer.requestId != current.id
@@ -296,6 +301,14 @@
         }
     }
 
+    /**
+     * Whether a second status line stands within the head. An endpoint that breaks off within a head
+     * and then answers writes one: in the reason, or in the value of the field that it broke off.
+     */
+    private val HttpResponse.holdsStatusLine: Boolean
+        get() = STATUS_LINE.containsMatchIn(status().reasonPhrase()) ||
+            headers().iteratorCharSequence().asSequence().any { STATUS_LINE.containsMatchIn(it.value) }
+
     private fun fail(cause: String, connectionLost: Boolean) {
         reusable = false
         val current = exchange
@@ -321,6 +334,9 @@
         /** Several times the size of an answer to another request that arrives late. */
         const val MAX_SURPLUS_BYTES = 64 * 1024
 
+        /** The protocol and the status; as a pattern it is rare in what a field holds otherwise. */
+        val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}")
+
         /** How long the rest of a discarded answer may take. */
         const val MAX_DISCARD_MILLIS = 500L
     }
