End the wait for an answer within the body of another one

A part of a second answer that is cut within its body is read on with the answer to the current request, up to its declared length. The caller waited until its deadline for an answer that had come (504 after 3 s in the test).

An answer to another request has half a second to end, as the rest of an answer that is discarded has; then the attempt is broken off and the request may be repeated, or fails at once.

JoinedAnswerTest.answerWithinTheBodyOfACopyIsNotWaitedFor failed before and passes; RepeatedRefusalTest, ConnectionEndedAnswerTest and EndpointConnectionTest pass.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -141,6 +141,9 @@
         private set
     private var exchange: Exchange? = null
     private var skipping = false
+
+    /** The number of answers to other requests so far. */
+    private var skippedAnswers = 0
     private var reusable = true
     private var requestWritten = false
 
@@ -259,6 +262,7 @@
                 Surplus(SurplusPlace.OTHER_ANSWER, current.id, named = answer.requestId)
             )
             reusable = false
+            limitSkipping()
             return
         }
         if (answer.requestId == null && isUsed) {
@@ -275,6 +279,20 @@
         current.sink.head(response, answer)
     }
 
+    /** An answer to another request that is cut off holds the one to the current request in its body. */
+    private fun limitSkipping() {
+        val number = ++skippedAnswers
+        channel.eventLoop().schedule(
+            {
+                if (skipping && number == skippedAnswers) {
+                    fail("an answer to another request without an end", connectionLost = false)
+                }
+            },
+            MAX_DISCARD_MILLIS,
+            TimeUnit.MILLISECONDS
+        )
+    }
+
     private fun contentRead(current: Exchange, content: HttpContent) {
         val last = content is LastHttpContent
         if (skipping) {
@@ -337,7 +355,7 @@
         /** The protocol and the status; as a pattern it is rare in what a field holds otherwise. */
         val STATUS_LINE = Regex("HTTP/1\\.[01] \\d{3}")
 
-        /** How long the rest of a discarded answer may take. */
+        /** How long the rest of an answer that isn't used may take. */
         const val MAX_DISCARD_MILLIS = 500L
     }
 }
