--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -325,7 +325,9 @@
      */
     private val HttpResponse.holdsStatusLine: Boolean
         get() = STATUS_LINE.containsMatchIn(status().reasonPhrase()) ||
-            headers().iteratorCharSequence().asSequence().any { STATUS_LINE.containsMatchIn(it.value) }
+            headers().iteratorCharSequence().asSequence().any {
+                STATUS_LINE.containsMatchIn(it.value)
+            }
 
     private fun fail(cause: String, connectionLost: Boolean) {
         reusable = false
