Give a request one answer

A failure of over 64 KiB was passed on and the request repeated all the same, since only the kind of the route was asked.

Each request has an answer with a state (no head, head written, ended), which is the only way to write to its caller's connection. A head or content that doesn't fit the state isn't written, is logged (HP1821) and counted. What may be repeated depends on that state. A buffered answer is released when another one takes its place. An interim answer (100) waits for the answer before it.

--- a/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/EntryDispatcher.kt
@@ -262,7 +262,8 @@
         val service = service(entry.request.service)
         updateHealth(service, load, entry, end, now)
         when (end) {
-            is AttemptEnd.Answered -> attemptAnswered(service, entry, end.status, now)
+            is AttemptEnd.Answered ->
+                attemptAnswered(service, entry, end.status, isRetryable, now)
 
             AttemptEnd.NotSent -> {
                 entry.lastFailure = ErrorKind.NO_ENDPOINT
@@ -287,12 +288,13 @@
         service: ServiceState,
         entry: OpenRequest,
         status: Int,
+        isRetryable: Boolean,
         now: Duration
     ) {
         entry.possibleRuns++
         val failed = status >= MIN_FAILURE_STATUS
         entry.isAnswerHeld = true
-        if (failed && entry.request.route.retrySafety == RetrySafety.SAFE) {
+        if (failed && isRetryable && entry.request.route.retrySafety == RetrySafety.SAFE) {
             retry(service, entry, usesRetryBudget = true, now)
         } else {
             close(entry)
--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -75,7 +75,12 @@
     ENDPOINT_PAUSED(1817, Level.INFO, "an endpoint refused a request and named a pause"),
     HOST_REGISTERED(1818, Level.INFO, "this host registered and found the others of its domain"),
     HOME_REFUSED(1819, Level.INFO, "the home of a customer's tokens refused a reservation"),
-    ENDPOINT_SURPLUS(1820, Level.INFO, "an endpoint sent bytes that belong to no answer")
+    ENDPOINT_SURPLUS(1820, Level.INFO, "an endpoint sent bytes that belong to no answer"),
+    SECOND_ANSWER_REFUSED(
+        1821,
+        Level.ERROR,
+        "a second answer to a request was kept from its caller"
+    )
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -1,6 +1,6 @@
 /*
- * One caller's connection: assembles requests, passes them to the listener one at a time and writes
- * the router's own answers.
+ * One caller's connection: assembles requests, passes them to the listener one at a time, each with the
+ * answer that belongs to it, and writes the router's own answers.
  */
 package org.hemlockpond.router.entry
 
@@ -28,6 +28,7 @@
 import kotlin.time.Duration
 import kotlin.time.DurationUnit
 import org.hemlockpond.core.ErrorKind
+import org.hemlockpond.core.RequestId
 
 /** Receives the requests of a [CallerConnection]; all calls are on the event loop. */
 internal interface CallerListener {
@@ -65,6 +66,9 @@
     /** A request was refused before it was read completely. */
     fun requestMalformed(kind: ErrorKind, detail: String?)
 
+    /** A part of an answer to [request] was not written, because its answer was further on. */
+    fun answerRefused(request: RequestId?, part: String)
+
     fun now(): Duration
 }
 
@@ -83,10 +87,18 @@
     private var incoming: Incoming? = null
     private val pipelined = ArrayDeque<Incoming>()
     private var keepAlive = true
-    private var isAnswering = false
+    private var currentAnswer: CallerAnswer? = null
     private var closing = false
     private var lastUsedAt = Duration.ZERO
 
+    /** Whether the caller of [incoming] waits for leave to send the body. */
+    private var isContinueDue = false
+
+    private val isAnswering: Boolean get() = currentAnswer != null
+
+    /** The answer to the current request. */
+    val answer: CallerAnswer get() = checkNotNull(currentAnswer) { "no request is being answered" }
+
     /** The exchange of the current request; set by the listener. */
     var exchange: EntryExchange? = null
 
@@ -130,18 +142,24 @@
             refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, "body of $length bytes")
             return
         }
-        if (HttpUtil.is100ContinueExpected(request)) {
-            val go = DefaultFullHttpResponse(
-                HttpVersion.HTTP_1_1,
-                HttpResponseStatus.CONTINUE,
-                Unpooled.EMPTY_BUFFER
-            )
-            channel.writeAndFlush(go)
-        }
+        isContinueDue = HttpUtil.is100ContinueExpected(request)
+        if (!isAnswering) writeContinue()
         incoming =
             Incoming(request, channel.alloc().compositeBuffer(MAX_BODY_PARTS), listener.now())
     }
 
+    /** Writes the interim answer to [incoming], which must not stand within the answer to another. */
+    private fun writeContinue() {
+        if (!isContinueDue) return
+        isContinueDue = false
+        val interim = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.CONTINUE,
+            Unpooled.EMPTY_BUFFER
+        )
+        channel.writeAndFlush(interim)
+    }
+
     private fun addContent(content: HttpContent) {
         val current = incoming
         if (current == null) {
@@ -158,13 +176,14 @@
         current.body.addComponent(true, content.content())
         if (content !is LastHttpContent) return
         incoming = null
+        isContinueDue = false
         if (isAnswering) pipelined.addLast(current) else handle(current)
         // Stops reading from a caller that pipelines too many requests until one is answered.
         if (pipelined.size >= MAX_PIPELINED) channel.config().isAutoRead = false
     }
 
     private fun handle(next: Incoming) {
-        isAnswering = true
+        currentAnswer = newAnswer()
         keepAlive = HttpUtil.isKeepAlive(next.request)
         if (!listener.isLoopLate) {
             listener.requestReceived(this, next.request, next.body, next.headReadAt)
@@ -179,6 +198,8 @@
         }
     }
 
+    private fun newAnswer() = CallerAnswer(channel, listener::answerRefused)
+
     /** Whether the connection closes after the current answer. */
     val endsAfterAnswer: Boolean get() = !keepAlive || listener.isClosing
 
@@ -197,9 +218,15 @@
         }
         val last = close || endsAfterAnswer
         if (last) response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        val written = channel.writeAndFlush(response)
-        if (last) written.addListener(ChannelFutureListener.CLOSE)
-        if (last) closing = true else answerWritten()
+        // A request that is refused while it is being read has no answer yet.
+        val current = currentAnswer ?: newAnswer().also { currentAnswer = it }
+        val written = current.writeWhole(response)
+        if (last) closing = true
+        when {
+            written == null -> abort()
+            last -> written.addListener(ChannelFutureListener.CLOSE)
+            else -> answerWritten()
+        }
     }
 
     private fun refuseAndClose(kind: ErrorKind, detail: String?) {
@@ -210,17 +237,28 @@
         if (isAnswering) close() else refuse(kind, retryAfter = null, close = true)
     }
 
-    /** Handles the end of the current answer: closes the connection or starts the next request. */
+    /**
+     * Handles the end of the current answer: closes the connection or starts the next request. Without
+     * an end, the connection is closed, so that the answer doesn't look complete.
+     */
     fun answerWritten() {
+        if (currentAnswer?.state != AnswerState.ENDED) {
+            abort()
+            return
+        }
         exchange = null
-        isAnswering = false
+        currentAnswer = null
         lastUsedAt = listener.now()
         if (closing || !channel.isActive) return
         if (endsAfterAnswer) {
             close()
             return
         }
-        val next = pipelined.removeFirstOrNull() ?: return
+        val next = pipelined.removeFirstOrNull()
+        if (next == null) {
+            writeContinue()
+            return
+        }
         channel.config().isAutoRead = true
         handle(next)
     }
@@ -234,6 +272,7 @@
     /** Closes the connection at once, so the current answer doesn't look complete to the caller. */
     fun abort() {
         closing = true
+        currentAnswer?.abandon()
         channel.close()
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -13,7 +13,6 @@
 import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.handler.codec.http.DefaultFullHttpResponse
-import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.EmptyHttpHeaders
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -25,7 +24,6 @@
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.HttpVersion
-import io.netty.handler.codec.http.LastHttpContent
 import java.net.InetSocketAddress
 import kotlin.time.Duration
 import org.hemlockpond.core.ErrorKind
@@ -70,6 +68,7 @@
     )
 
     private val streaming = request.route.streaming
+    private val answer = caller.answer.also { it.request = request.id }
     private var connection: EndpointConnection? = null
 
     /** The connections on which the request was sent. */
@@ -80,9 +79,10 @@
     private var partialBody: CompositeByteBuf? = null
     private var bufferedAnswer: BufferedAnswer? = null
 
-    /** Whether the head was sent to the caller; later attempts can only add events. */
-    var headSent = false
-        private set
+    /** How much of the answer the caller has; after its head, later attempts can only add events. */
+    val answerState: AnswerState get() = answer.state
+
+    private val headSent: Boolean get() = answerState != AnswerState.NO_HEAD
     var finished = false
         private set
 
@@ -229,7 +229,7 @@
         when {
             finished -> bytes.release()
             streaming && isSuccess -> writeEvents(bytes)
-            unbuffered -> caller.channel.writeAndFlush(DefaultHttpContent(bytes))
+            unbuffered -> answer.add(bytes)
             else -> collect(bytes)
         }
         listener.bufferChanged(this)
@@ -248,7 +248,7 @@
         if (whole.isReadable) {
             beginAnswer()
             if (!headSent) writeChunkedHead()
-            caller.channel.writeAndFlush(DefaultHttpContent(whole))
+            answer.add(whole)
         } else {
             whole.release()
         }
@@ -262,12 +262,13 @@
     }
 
     private fun writeChunkedHead() {
-        headSent = true
+        // The answer of an earlier attempt gives way to this one.
+        releaseBufferedAnswer()
         answeredStatus = status.code()
         val response = DefaultHttpResponse(HttpVersion.HTTP_1_1, status, headers)
         HttpUtil.setTransferEncodingChunked(response, true)
         setCloseHeader(response.headers())
-        caller.channel.write(response)
+        answer.begin(response)
     }
 
     private fun setCloseHeader(headers: HttpHeaders) {
@@ -284,7 +285,7 @@
         partialBody = null
         unbuffered = true
         writeChunkedHead()
-        caller.channel.writeAndFlush(DefaultHttpContent(all))
+        answer.add(all)
     }
 
     override fun ended(isDelimited: Boolean) {
@@ -295,7 +296,7 @@
             streaming && isSuccess -> streamEnded(isDelimited)
 
             unbuffered -> {
-                caller.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                answer.end()
                 listener.attemptEnded(this, AttemptEnd.Answered(status.code()))
             }
 
@@ -315,7 +316,7 @@
 
             else -> {
                 if (!headSent) writeChunkedHead()
-                caller.channel.writeAndFlush(LastHttpContent.EMPTY_LAST_CONTENT)
+                answer.end()
                 listener.attemptEnded(this, AttemptEnd.Answered(status.code()))
             }
         }
@@ -365,35 +366,32 @@
 
     /** Sends the buffered answer to the caller, if there is one, and ends the exchange. */
     fun deliver() {
-        val answer = bufferedAnswer
-        if (answer != null) {
+        val buffered = bufferedAnswer
+        if (buffered != null) {
             bufferedAnswer = null
-            writeWhole(answer)
-        } else {
-            finish()
-            caller.answerWritten()
+            writeWhole(buffered)
         }
+        finish()
+        caller.answerWritten()
     }
 
-    private fun writeWhole(answer: BufferedAnswer) {
-        answeredStatus = answer.status.code()
+    private fun writeWhole(buffered: BufferedAnswer) {
+        answeredStatus = buffered.status.code()
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
-            answer.status,
-            answer.body,
-            answer.headers,
+            buffered.status,
+            buffered.body,
+            buffered.headers,
             EmptyHttpHeaders.INSTANCE
         )
         val bodiless = http.method() == HttpMethod.HEAD ||
-            answer.status == HttpResponseStatus.NO_CONTENT ||
-            answer.status == HttpResponseStatus.NOT_MODIFIED
+            buffered.status == HttpResponseStatus.NO_CONTENT ||
+            buffered.status == HttpResponseStatus.NOT_MODIFIED
         if (!bodiless) {
-            answer.headers.set(HttpHeaderNames.CONTENT_LENGTH, answer.body.readableBytes())
+            buffered.headers.set(HttpHeaderNames.CONTENT_LENGTH, buffered.body.readableBytes())
         }
-        setCloseHeader(answer.headers)
-        caller.channel.writeAndFlush(response)
-        finish()
-        caller.answerWritten()
+        setCloseHeader(buffered.headers)
+        answer.writeWhole(response)
     }
 
     /**
@@ -403,12 +401,16 @@
     fun refuse(kind: ErrorKind, retryAfter: Duration?) {
         cancelAttempt()
         finish()
-        if (headSent) {
-            caller.abort()
-            return
+        when (answerState) {
+            AnswerState.NO_HEAD -> {
+                answeredStatus = kind.status
+                caller.refuse(kind, retryAfter)
+            }
+
+            AnswerState.HEAD_WRITTEN -> caller.abort()
+
+            AnswerState.ENDED -> caller.answerWritten()
         }
-        answeredStatus = kind.status
-        caller.refuse(kind, retryAfter)
     }
 
     /** Ends the exchange without an answer. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -405,8 +405,12 @@
 
     private fun attemptCompleted(exchange: EntryExchange, end: AttemptEnd) {
         if (end !is AttemptEnd.Answered) logFailedAttempt(exchange, end.toString())
-        val repeatable = !exchange.headSent ||
-            (exchange.request.route.retrySafety == RetrySafety.RESUMABLE && exchange.canResume)
+        val isResumable = exchange.request.route.retrySafety == RetrySafety.RESUMABLE
+        val repeatable = when (exchange.answerState) {
+            AnswerState.NO_HEAD -> true
+            AnswerState.HEAD_WRITTEN -> isResumable && exchange.canResume
+            AnswerState.ENDED -> false
+        }
         perform(dispatcher.attemptEnded(exchange.request.id, end, now(), repeatable))
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -122,6 +122,9 @@
     private lateinit var callerListener: Channel
     private val callerIdleTimeout = CallerIdleTimeout(DEFAULT_CALLER_TIMEOUT, IDLE_TIMEOUT_OVERLAP)
     private var config: EntryConfig? = null
+
+    /** How often a part of an answer was not written, because its answer was further on. */
+    private var refusedWrites = 0L
     private var endpointListRead = false
     private var storeReachable = true
     private var storeAnsweredAt = Duration.ZERO
@@ -190,6 +193,7 @@
             metrics.gauge("hemlockpond.peer.datagrams.refused") { hosts.peers.refused }
         }
         metrics.gauge("hemlockpond.buffered.answer.bytes") { requests.bufferedBytes }
+        metrics.gauge("hemlockpond.answer.writes.refused") { refusedWrites }
         metrics.gauge("hemlockpond.caller.connections") { connections.size }
         metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
@@ -452,6 +456,11 @@
             log(LogEvent.REQUEST_MALFORMED, "kind" to kind.code, "detail" to detail)
         }
 
+        override fun answerRefused(request: RequestId?, part: String) {
+            refusedWrites++
+            log(LogEvent.SECOND_ANSWER_REFUSED, "request" to request, "part" to part)
+        }
+
         override fun now(): Duration = clock.now().elapsed
     }
 
