Read a connection again after an answer that was paused

While a caller reads slowly, its endpoint's connection isn't read. If the answer ended while it was paused, as its last part was in the codec already, the connection went back to the pool without being read: bytes that came between requests, and the end of the connection, were noticed only after the next request had been sent on it. The next answer was then lost, and a request that is unsafe to repeat failed.

EndpointConnectionTest.connectionThatWasPausedIsReadAgainAfterItsAnswer failed before (not closed within 5 s) and passes.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -306,6 +306,8 @@
         if (!last || exchange !== current) return
         exchange = null
         isUsed = true
+        // A connection that isn't read notices neither its end nor further bytes.
+        setPaused(false)
         val surplus = decoder.undecodedBytes
         if (surplus > 0) {
             owner.surplusReceived(Surplus(SurplusPlace.AFTER_ANSWER, current.id, bytes = surplus))
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -39,7 +39,7 @@
         data class Broken(val cause: String, val connectionLost: Boolean) : End
     }
 
-    private class Sink : AnswerSink {
+    private class Sink(private val onContent: () -> Unit = {}) : AnswerSink {
         private val body = StringBuilder()
         val contentReceived = CountDownLatch(1)
         val end = CompletableFuture<End>()
@@ -57,6 +57,7 @@
             body.append(bytes.toString(Charsets.UTF_8))
             bytes.release()
             contentReceived.countDown()
+            onContent()
         }
 
         override fun ended(isDelimited: Boolean) {
@@ -239,6 +240,26 @@
         }
     }
 
+    /** Guards against an idle connection that notices neither bytes nor its end. */
+    @Test
+    fun connectionThatWasPausedIsReadAgainAfterItsAnswer() {
+        val mayAnswer = CountDownLatch(1)
+        val maySendMore = CountDownLatch(1)
+        serve {
+            mayAnswer.await()
+            it.write("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nwhole")
+            maySendMore.await()
+            it.write("HTTP/1.1 200 ")
+        }
+        val connection = CompletableFuture<EndpointConnection>()
+        val sink = Sink(onContent = { connection.get().setPaused(true) })
+        connection.complete(send(sink, requestBytes = 0))
+        mayAnswer.countDown()
+        assertEquals(End.Whole("whole"), sink.awaitEnd())
+        maySendMore.countDown()
+        assertTrue(connection.get().channel.closeFuture().await(5, TimeUnit.SECONDS))
+    }
+
     /** Reads the request, as the close of a socket with unread bytes resets the connection. */
     private fun readHead(socket: Socket) {
         val read = StringBuilder()
