End an attempt when its endpoint changes the protocol

After a 101 the HTTP codec decodes nothing more, so that the caller waited until its deadline. The router asks for no other protocol; such an answer breaks the attempt off.

EndpointConnectionTest.changeOfTheProtocolBreaksTheAttempt failed before (no end within 5 s) and passes.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.HttpUtil
 import io.netty.handler.codec.http.LastHttpContent
@@ -255,6 +256,10 @@
         val answer = dialect.parseAnswerHead(response)
         val foreign = answer.requestId != null && answer.requestId != current.id
         skipping = interim || foreign
+        if (response.status() == HttpResponseStatus.SWITCHING_PROTOCOLS) {
+            fail("another protocol", connectionLost = false)
+            return
+        }
         if (interim) return
         current.sink.endpointStated(answer)
         if (foreign) {
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EndpointConnectionTest.kt
@@ -260,6 +260,19 @@
         assertTrue(connection.get().channel.closeFuture().await(5, TimeUnit.SECONDS))
     }
 
+    /** Guards against a wait for an answer that the codec no longer decodes. */
+    @Test
+    fun changeOfTheProtocolBreaksTheAttempt() {
+        serve {
+            readHead(it)
+            it.write("HTTP/1.1 101 Switching Protocols\r\nUpgrade: other\r\n\r\n")
+            it.getInputStream().readAllBytes()
+        }
+        val sink = Sink()
+        send(sink, requestBytes = 0)
+        assertFalse(assertIs<End.Broken>(sink.awaitEnd()).connectionLost)
+    }
+
     /** Reads the request, as the close of a socket with unread bytes resets the connection. */
     private fun readHead(socket: Socket) {
         val read = StringBuilder()
