Skip interim answers of services and engines

An answer 103 of a plain service was taken for its result: the attempt counted as answered, and the answer that followed was dropped.

EndpointClientTest.interimAnswerIsNotTheAnswerOfTheService failed before (Answered in place of Failed) and passes.

--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/AttemptHandler.kt
@@ -10,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpObject
 import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpStatusClass
 import io.netty.handler.codec.http.LastHttpContent
 import java.io.ByteArrayOutputStream
 import kotlinx.serialization.json.JsonArray
@@ -44,6 +45,9 @@
     private var finished = false
     private var cancelled = false
     private var status = 0
+
+    /** Whether the current message is an interim answer, which the answer follows. */
+    private var isInterim = false
     private var contentType = ""
     private var index = resumeFrom
     private var usage: Usage? = null
@@ -70,6 +74,10 @@
             finish(AttemptOutcome.Crashed, null)
             return
         }
+        if (message is HttpResponse) {
+            isInterim = message.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        }
+        if (isInterim) return
         if (message is HttpResponse) {
             status = message.status().code()
             contentType = message.headers()[HttpHeaderNames.CONTENT_TYPE].orEmpty()
--- a/router/src/test/kotlin/org/hemlockpond/router/endpoint/EndpointClientTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/endpoint/EndpointClientTest.kt
@@ -166,6 +166,16 @@
         assertEquals(AttemptOutcome.Crashed, outcome)
     }
 
+    /** Guards against taking an interim answer for the answer of the service. */
+    @Test
+    fun interimAnswerIsNotTheAnswerOfTheService() {
+        val outcome = outcomeOf(bytes = 10) {
+            it.write("HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n")
+            it.write("HTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n")
+        }
+        assertEquals(AttemptOutcome.Failed, outcome)
+    }
+
     private companion object {
         const val OPEN_HEAD = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
         const val SMALL_BUFFER = 8 * 1024
