Give each call to an engine's orders page a connection of its own

An answer to an order doesn't name the order, and the JDK's client takes the next answer on a kept connection for it. A second answer to an earlier order was therefore taken for the answer to the next one: a host believed that an engine ran a version that it didn't run. Orders and load reports now use the client of the store calls, which opens a connection for each call, so that nothing of another call can arrive on it.

--- a/router/src/main/kotlin/org/hemlockpond/router/Router.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/Router.kt
@@ -92,7 +92,7 @@
         moves = MoveFollower(id, settings.domain)
     )
     private val state = FleetState(components.moves, ContractLimits(id), ::control)
-    private val orders = OrderClient()
+    private val orders = OrderClient(trafficGroup)
     private val outside = RouterOutside()
     private val decisions = Control(components, state, clock, outside)
     private val endpoints = EndpointClient(trafficGroup, Attempts())
--- a/router/src/main/kotlin/org/hemlockpond/router/endpoint/OrderClient.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/endpoint/OrderClient.kt
@@ -1,13 +1,17 @@
 /*
- * Orders to model engines, and their load reports. Both are rare, so the JDK's HTTP client serves.
+ * Orders to model engines, and their load reports. Both are rare. An answer doesn't name its order, so
+ * each call has a connection of its own, on which no answer to another one can arrive.
  */
 package org.hemlockpond.router.endpoint
 
-import java.net.URI
-import java.net.http.HttpClient
-import java.net.http.HttpRequest
-import java.net.http.HttpResponse
-import java.time.Duration
+import io.netty.channel.EventLoopGroup
+import io.netty.handler.codec.http.HttpMethod
+import java.net.InetSocketAddress
+import kotlin.time.Duration.Companion.seconds
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Dispatchers
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.launch
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.booleanOrNull
@@ -21,15 +25,16 @@
 import org.hemlockpond.router.JsonInput
 import org.hemlockpond.router.parseJson
 import org.hemlockpond.router.protocolName
+import org.hemlockpond.store.HttpResult
+import org.hemlockpond.store.JsonHttpClient
 
 /** What an engine says about itself; it lags. */
 internal data class LoadAnswer(val heldTokens: Long, val leaving: Boolean)
 
-internal class OrderClient {
-    private val http = HttpClient.newBuilder()
-        .version(HttpClient.Version.HTTP_1_1)
-        .connectTimeout(TIMEOUT)
-        .build()
+/** @param group the event loops for the connections */
+internal class OrderClient(group: EventLoopGroup) {
+    private val http = JsonHttpClient(TIMEOUT, group)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
 
     /** Sends an order; [done] is called on a thread of the client. */
     fun order(
@@ -43,31 +48,35 @@
             put("fencing", fencing)
             if (order is EndpointOrder.Load) put("version", order.version.value)
         }
-        val request = request(endpoint, "/v1/orders")
-            .POST(HttpRequest.BodyPublishers.ofString(body.toString()))
-            .build()
-        http.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete { answer, _ ->
+        call(endpoint, HttpMethod.POST, "/v1/orders", body.toString()) { answer ->
             done(if (answer == null) OrderAnswer.Failed else orderAnswer(answer))
         }
     }
 
     /** Asks an engine for its load; [done] gets null if it doesn't answer. */
-    fun load(endpoint: EndpointConfig, done: (LoadAnswer?) -> Unit) {
-        val request = request(endpoint, "/load").GET().build()
-        http.sendAsync(request, HttpResponse.BodyHandlers.ofString()).whenComplete { answer, _ ->
-            done(answer?.takeIf { it.statusCode() == HTTP_OK }?.let { loadAnswer(it.body()) })
+    fun load(endpoint: EndpointConfig, done: (LoadAnswer?) -> Unit) =
+        call(endpoint, HttpMethod.GET, "/load") { answer ->
+            done(answer?.takeIf { it.status == HTTP_OK }?.let { loadAnswer(it.body) })
         }
-    }
 
-    private fun request(endpoint: EndpointConfig, path: String): HttpRequest.Builder =
-        HttpRequest.newBuilder(URI("http://${endpoint.host}:${endpoint.port}$path"))
-            .timeout(TIMEOUT)
+    private fun call(
+        endpoint: EndpointConfig,
+        method: HttpMethod,
+        path: String,
+        body: String = "",
+        done: (HttpResult.Answer?) -> Unit
+    ) {
+        scope.launch {
+            val address = InetSocketAddress(endpoint.host, endpoint.port)
+            done(http.call(address, method, path, body) as? HttpResult.Answer)
+        }
+    }
 
-    private fun orderAnswer(answer: HttpResponse<String>): OrderAnswer = when {
-        answer.statusCode() == HTTP_CONFLICT -> OrderAnswer.Fenced
+    private fun orderAnswer(answer: HttpResult.Answer): OrderAnswer = when {
+        answer.status == HTTP_CONFLICT -> OrderAnswer.Fenced
 
-        answer.statusCode() == HTTP_OK -> {
-            val version = (parse(answer.body())?.get("version") as? JsonPrimitive)?.content
+        answer.status == HTTP_OK -> {
+            val version = (parse(answer.body)?.get("version") as? JsonPrimitive)?.content
             if (version == null) OrderAnswer.Failed else OrderAnswer.Runs(VersionId(version))
         }
 
@@ -85,7 +94,7 @@
         (parseJson(body) as? JsonInput.Valid)?.element as? JsonObject
 
     private companion object {
-        val TIMEOUT: Duration = Duration.ofSeconds(2)
+        val TIMEOUT = 2.seconds
         const val HTTP_OK = 200
         const val HTTP_CONFLICT = 409
     }
