Bound the memory of all request bodies together

Cause: each body had a limit, all of them together had none. 24 bodies of 4 MB used up the direct memory of the process.

Change: RequestBodies reserves the stated length of a body before any of it is read, and room for a body of unknown length as it grows. A request without room is refused at once (no-room, not run, with a Retry-After), the rest of its body is discarded, and its connection goes on. Bodies are copied into segments of their own instead of keeping the buffers of the connection, and are never merged. The gauge hemlockpond_request_body_bytes shows the room that is taken.

--- a/core/src/main/kotlin/org/hemlockpond/core/ErrorKind.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/ErrorKind.kt
@@ -76,6 +76,7 @@
     ),
     NO_ENDPOINT(503, Execution.NOT_RUN, true, "no endpoint for the route accepts work"),
     OVERLOADED(503, Execution.NOT_RUN, true, "the request waited past its class's deadline"),
+    NO_ROOM(503, Execution.NOT_RUN, true, "other request bodies leave no room for this one"),
     SUSPECT_NOT_RUN(
         503,
         Execution.NOT_RUN,
--- a/core/src/main/kotlin/org/hemlockpond/core/entry/RetrySpread.kt
+++ b/core/src/main/kotlin/org/hemlockpond/core/entry/RetrySpread.kt
@@ -8,7 +8,7 @@
 import kotlin.random.Random
 
 /** @param random draws the first fraction, so that hosts differ */
-internal class RetrySpread(random: Random) {
+class RetrySpread(random: Random) {
     private var fraction = random.nextDouble()
 
     /** Returns the next fraction, from 0 to 1, of the span over which callers return. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -5,7 +5,6 @@
 package org.hemlockpond.router.entry
 
 import io.netty.buffer.ByteBuf
-import io.netty.buffer.CompositeByteBuf
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
 import io.netty.channel.ChannelFutureListener
@@ -38,6 +37,7 @@
     /** Whether the event loop is so late that callers may have left meanwhile. */
     val isLoopLate: Boolean
     val maxBodyBytes: Int
+    val bodies: RequestBodies
 
     /** How long a connection may stay open without a request. */
     val idleTimeout: Duration
@@ -69,6 +69,9 @@
     /** A part of an answer to [request] was not written, because its answer was further on. */
     fun answerRefused(request: RequestId?, part: String)
 
+    /** There was no room for the body of [request], which is refused. */
+    fun roomLacking(request: HttpRequest)
+
     fun now(): Duration
 }
 
@@ -76,9 +79,10 @@
     private val listener: CallerListener,
     private val headers: HeaderStartTracker
 ) : ChannelInboundHandlerAdapter() {
+    /** @property body null if there was no room for it; the request is refused */
     private class Incoming(
         val request: HttpRequest,
-        val body: CompositeByteBuf,
+        val body: RequestBody?,
         val headReadAt: Duration
     )
 
@@ -142,10 +146,37 @@
             refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, "body of $length bytes")
             return
         }
+        val body = listener.bodies.begin(length.toInt(), channel.alloc())
+        if (body == null) {
+            refuseForRoom(request)
+            return
+        }
         isContinueDue = HttpUtil.is100ContinueExpected(request)
         if (!isAnswering) writeContinue()
-        incoming =
-            Incoming(request, channel.alloc().compositeBuffer(MAX_BODY_PARTS), listener.now())
+        incoming = Incoming(request, body, listener.now())
+    }
+
+    /**
+     * Refuses a request whose body hasn't been read completely, and discards the rest of it. A connection
+     * isn't closed meanwhile, since the close would reset it and the caller might lose the answer.
+     */
+    private fun refuseForRoom(request: HttpRequest) {
+        listener.roomLacking(request)
+        incoming = null
+        isContinueDue = false
+        if (!isAnswering) keepAlive = HttpUtil.isKeepAlive(request)
+        when {
+            // The refusal follows the answer before it, once the caller has sent the body.
+            isAnswering -> incoming = Incoming(request, body = null, listener.now())
+
+            // The caller may wait with the body, or send the next request in its place.
+            HttpUtil.is100ContinueExpected(request) ->
+                refuse(ErrorKind.NO_ROOM, listener.bodies.retryAfter, close = true)
+
+            endsAfterAnswer -> incoming = Incoming(request, body = null, listener.now())
+
+            else -> refuse(ErrorKind.NO_ROOM, listener.bodies.retryAfter)
+        }
     }
 
     /** Writes the interim answer to [incoming], which must not stand within the answer to another. */
@@ -162,19 +193,30 @@
 
     private fun addContent(content: HttpContent) {
         val current = incoming
-        if (current == null) {
-            content.release()
-            return
-        }
-        if (current.body.readableBytes() + content.content().readableBytes() >
-            listener.maxBodyBytes
-        ) {
+        val body = current?.body
+        try {
+            when {
+                body == null -> Unit
+
+                body.readableBytes() + content.content().readableBytes() >
+                    listener.maxBodyBytes -> {
+                    val detail = "body over ${listener.maxBodyBytes} bytes"
+                    refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, detail)
+                    return
+                }
+
+                !body.append(content.content()) -> {
+                    body.release()
+                    refuseForRoom(current.request)
+                }
+            }
+        } finally {
             content.release()
-            refuseAndClose(ErrorKind.REQUEST_TOO_LARGE, "body over ${listener.maxBodyBytes} bytes")
-            return
         }
-        current.body.addComponent(true, content.content())
-        if (content !is LastHttpContent) return
+        if (content is LastHttpContent) incoming?.let { requestRead(it) }
+    }
+
+    private fun requestRead(current: Incoming) {
         incoming = null
         isContinueDue = false
         if (isAnswering) pipelined.addLast(current) else handle(current)
@@ -185,15 +227,20 @@
     private fun handle(next: Incoming) {
         currentAnswer = newAnswer()
         keepAlive = HttpUtil.isKeepAlive(next.request)
+        val body = next.body
+        if (body == null) {
+            refuse(ErrorKind.NO_ROOM, listener.bodies.retryAfter)
+            return
+        }
         if (!listener.isLoopLate) {
-            listener.requestReceived(this, next.request, next.body, next.headReadAt)
+            listener.requestReceived(this, next.request, body, next.headReadAt)
             return
         }
         channel.eventLoop().runAfterNextRead {
             if (channel.isActive) {
-                listener.requestReceived(this, next.request, next.body, next.headReadAt)
+                listener.requestReceived(this, next.request, body, next.headReadAt)
             } else {
-                next.body.release()
+                body.release()
             }
         }
     }
@@ -315,7 +362,7 @@
         closing = true
         incoming?.body?.release()
         incoming = null
-        pipelined.forEach { it.body.release() }
+        pipelined.forEach { it.body?.release() }
         pipelined.clear()
         listener.connectionClosed(this)
     }
@@ -330,9 +377,6 @@
         /** The number of pipelined requests at which reading from a connection is paused. */
         const val MAX_PIPELINED = 4
 
-        /** The maximum number of buffers in a body before they are merged. */
-        const val MAX_BODY_PARTS = 64
-
         /** Idle checks within the shortest timeout. */
         const val CHECKS_PER_TIMEOUT = 2
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -174,6 +174,20 @@
         kind: ErrorKind,
         version: Long?
     ) {
+        noteRefusal(head, kind, version)
+        val retryAfter = when (kind) {
+            ErrorKind.NOT_CONFIGURED -> CONFIG_RETRY
+            ErrorKind.ROUTER_STOPPING -> stop?.retryAfter()
+            else -> null
+        }
+        caller.refuse(kind, retryAfter)
+    }
+
+    /** The caller's connection refuses [http], because there is no room for its body. */
+    fun refusedForRoom(http: HttpRequest) =
+        noteRefusal(dialect.parseCallerHead(http), ErrorKind.NO_ROOM, config?.version)
+
+    private fun noteRefusal(head: CallerHead, kind: ErrorKind, version: Long?) {
         metrics.refused(null, kind)
         log(
             LogEvent.ENTRY_REFUSED,
@@ -181,12 +195,6 @@
             "kind" to kind.code,
             "config" to version
         )
-        val retryAfter = when (kind) {
-            ErrorKind.NOT_CONFIGURED -> CONFIG_RETRY
-            ErrorKind.ROUTER_STOPPING -> stop?.retryAfter()
-            else -> null
-        }
-        caller.refuse(kind, retryAfter)
     }
 
     private fun startExchange(exchange: EntryExchange) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -118,6 +118,7 @@
     )
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
     private val connections = HashSet<CallerConnection>()
+    private val bodies = RequestBodies(settings.maxRequestBodyBytes)
     private val listeners = ArrayList<Channel>()
     private lateinit var callerListener: Channel
     private val callerIdleTimeout = CallerIdleTimeout(DEFAULT_CALLER_TIMEOUT, IDLE_TIMEOUT_OVERLAP)
@@ -194,6 +195,7 @@
         }
         metrics.gauge("hemlockpond.buffered.answer.bytes") { requests.bufferedBytes }
         metrics.gauge("hemlockpond.answer.writes.refused") { refusedWrites }
+        metrics.gauge("hemlockpond.request.body.bytes") { bodies.reservedBytes }
         metrics.gauge("hemlockpond.caller.connections") { connections.size }
         metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
@@ -429,7 +431,10 @@
         override val isClosing: Boolean get() = entryStop.isStopping || isCutOffFromStore
 
         override val isLoopLate: Boolean get() = lateness.isLate(now())
-        override val maxBodyBytes: Int get() = config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES
+        override val maxBodyBytes: Int
+            get() = minOf(config?.limits?.maxBodyBytes ?: DEFAULT_BODY_BYTES, bodies.maxLength)
+
+        override val bodies: RequestBodies get() = this@EntryRouter.bodies
 
         override val idleTimeout: Duration get() = callerIdleTimeout.longest(now())
         override val headerTimeout: Duration
@@ -461,6 +466,8 @@
             log(LogEvent.SECOND_ANSWER_REFUSED, "request" to request, "part" to part)
         }
 
+        override fun roomLacking(request: HttpRequest) = requests.refusedForRoom(request)
+
         override fun now(): Duration = clock.now().elapsed
     }
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouterSettings.kt
@@ -45,6 +45,8 @@
  * @property maxEventBytes an event of a stream may have up to this size; a larger one ends the attempt
  * @property maxBufferedBytes what all answers together may have that wait for the end of an event or of
  *   the answer; the largest of them ends with its attempt. A quarter of the direct memory of a host.
+ * @property maxRequestBodyBytes what the bodies of all requests together may have that are being read or
+ *   held; requests that find no room are refused. Half of the direct memory of a host.
  * @property idleConnectionTimeout how long an idle connection to an endpoint is kept, unless the
  *   endpoint states its own timeout
  * @property idleTimeoutMargin how long before the endpoint's own timeout an idle connection expires
@@ -76,6 +78,7 @@
     val maxBufferedAnswerBytes: Int = 64 * 1024,
     val maxEventBytes: Int = 64 * 1024,
     val maxBufferedBytes: Int = 16 * 1024 * 1024,
+    val maxRequestBodyBytes: Int = 32 * 1024 * 1024,
     val idleConnectionTimeout: Duration = 4.seconds,
     val idleTimeoutMargin: Duration = 400.milliseconds,
     val claimInterval: Duration = 200.milliseconds,
