Keep allocations on the event loop below the JVM's limit of direct memory

Cause: with the JVM that the deploy file starts, Netty has no limit of its own for direct memory (io.netty.maxDirectMemory isn't used without access to java.nio). At the JVM's limit java.nio.Bits.reserveMemory makes an allocation wait for about half a second, and the event loop with it.

Netty closes the connection whose read fails; FailedWriteHandler closes a caller's connection whose write fails. Long parts of request bodies are allocated under the same limit. The gauge hemlockpond_direct_memory_bytes shows what is taken.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -196,6 +196,7 @@
         metrics.gauge("hemlockpond.buffered.answer.bytes") { requests.bufferedBytes }
         metrics.gauge("hemlockpond.answer.writes.refused") { refusedWrites }
         metrics.gauge("hemlockpond.request.body.bytes") { bodies.reservedBytes }
+        metrics.gauge("hemlockpond.direct.memory.bytes") { usedDirectMemory }
         metrics.gauge("hemlockpond.caller.connections") { connections.size }
         metrics.gauge("hemlockpond.endpoints") { directory.endpoints.size }
     }
@@ -210,6 +211,7 @@
         connections += connection
         channel.pipeline()
             .addLast(headers, HttpServerCodec(decoder), headers.DecodedHandler(), connection)
+            .addLast(FailedWriteHandler())
     }
 
     private fun every(interval: Duration, block: () -> Unit) {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/RequestBodies.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/RequestBodies.kt
@@ -22,6 +22,9 @@
 internal class RequestBodies(private val limit: Int) {
     private val spread = RetrySpread(Random.Default)
 
+    /** Allocates what is too large for the pool, which keeps a larger piece while a part of it is used. */
+    val unpooled: ByteBufAllocator = BoundedAllocator(UnpooledByteBufAllocator.DEFAULT)
+
     /** Long bodies leave the rest of the limit to short ones. */
     private val longLimit = (limit * LONG_SHARE).toInt()
 
@@ -75,7 +78,11 @@
     private val pool: ByteBufAllocator,
     private var reserved: Int
 ) : CompositeByteBuf(pool, true, Int.MAX_VALUE) {
-    /** Adds the readable bytes of [bytes]; false if there is no room for them. */
+    /**
+     * Adds the readable bytes of [bytes]; false if there is no room for them.
+     *
+     * @throws DirectMemoryUsedUp if other holders have used up the direct memory
+     */
     fun append(bytes: ByteBuf): Boolean {
         while (bytes.isReadable) {
             if (writerIndex() == capacity() && !addSegment(bytes.readableBytes())) return false
@@ -92,8 +99,7 @@
             reserved += more
         }
         val size = minOf(reserved - used, MAX_SEGMENT_BYTES)
-        // The pool keeps a larger piece of memory for as long as a part of it is used.
-        val allocator = if (size < MIN_UNPOOLED_BYTES) pool else UnpooledByteBufAllocator.DEFAULT
+        val allocator = if (size < MIN_UNPOOLED_BYTES) pool else bodies.unpooled
         addComponent(false, allocator.directBuffer(size, size).writerIndex(size))
         return true
     }
