Read lists of the store page by page and keep what is used of good entries

Change: KeyValueStore.scanPrefix passes on the entries of one page after the other. Each is decoded at once; what is used of a good one is kept, and an unreadable one, or one over the bounds in design.md, section 2.8, is skipped, counted and logged once. All lists of the entry router are read so. The number of calls is the same.

PrefixWatchTest was adapted to the new interface of listeners; its checks are the same.

--- a/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/LogEvent.kt
@@ -80,7 +80,8 @@
         1821,
         Level.ERROR,
         "a second answer to a request was kept from its caller"
-    )
+    ),
+    STORE_LIST_FULL(1822, Level.ERROR, "a list in the store has more entries than a host keeps")
     ;
 
     /** The identifier in the log, such as `HP1001`. */
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
@@ -21,14 +21,13 @@
 import org.hemlockpond.core.entry.Suspect
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.RouterClock
-import org.hemlockpond.router.decodeRecord
 import org.hemlockpond.router.encodeRecord
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
-import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
 import org.hemlockpond.store.WriteResult
 
 /** A process of an endpoint, with its start in Unix milliseconds. */
@@ -86,6 +85,9 @@
     }
 }
 
+/** A record of another host that was stored at [revision]. */
+internal class ReceivedCrash(val record: StoredCrashRecord, val revision: Long)
+
 /** Receives the records of other hosts. */
 internal interface CrashListener {
     fun crashReported(report: CrashReport)
@@ -192,14 +194,20 @@
 
     private fun now() = clock.now().elapsed
 
+    /** Whether [entry] is a record of another host that hasn't been applied. */
+    fun isNew(entry: StoredValue): Boolean =
+        entry.revision > appliedRevision && !entry.key.startsWith("$PREFIX$router/")
+
+    fun decode(entry: StoredValue, skipped: SkippedEntries): ReceivedCrash? =
+        skipped.decode(StoredCrashRecord.serializer(), entry)
+            ?.let { ReceivedCrash(it, entry.revision) }
+
     /** Applies new records of other hosts. */
-    fun apply(changes: List<StoreChange>) {
-        for (change in changes.sortedBy { it.revision }) {
-            val text = change.value ?: continue
-            if (change.revision <= appliedRevision) continue
-            appliedRevision = change.revision
-            if (change.key.startsWith("$PREFIX$router/")) continue
-            val record = decodeRecord(StoredCrashRecord.serializer(), change.key, text) ?: continue
+    fun apply(crashes: List<ReceivedCrash>) {
+        for (crash in crashes.sortedBy { it.revision }) {
+            if (crash.revision <= appliedRevision) continue
+            appliedRevision = crash.revision
+            val record = crash.record
             record.toReport()?.let { listener.crashReported(it) }
             val cleared = record.cleared.toSuspects()
             if (cleared.isNotEmpty()) listener.suspectsCleared(record.service, cleared)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -32,6 +32,7 @@
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
 import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.ScanResult
 import org.hemlockpond.store.StoredValue
 import org.hemlockpond.store.WriteResult
 
@@ -74,6 +75,9 @@
         val answeredAt: Duration
     )
 
+    /** A stored record; null if it can't be read. */
+    private class StoredRecord(val revision: Long, val record: BudgetRecord?)
+
     private val holder = BudgetHolder(self, domain, settings)
     private val cachedRecords = HashMap<CustomerId, CachedRecord>()
     private val pendingWrites = ArrayList<BudgetAction.WriteRecord>()
@@ -201,22 +205,34 @@
     private suspend fun fetch(asked: List<BudgetAction.ReadRecord>) {
         storeCalls++
         val all = asked.size > 1 && asked.size * PREFIX_READ_FRACTION >= prepaidTokens.size
-        val read = if (all) {
-            store.readPrefix(BudgetRecord.PREFIX)
-        } else {
-            store.read(BudgetRecord.key(asked.first().customer))
+        val part = if (all) asked else asked.take(1)
+        val keys = part.mapTo(HashSet()) { BudgetRecord.key(it.customer) }
+        val stored = HashMap<String, StoredRecord>()
+        val isAnswered = readRecords(all, keys.first()) {
+            if (it.key in keys) stored[it.key] = StoredRecord(it.revision, decode(it))
         }
-        storeReachabilityChanged(read is ReadResult.Values)
-        val values = (read as? ReadResult.Values)?.values ?: return
-        val stored = values.associateBy { it.key }
-        for (action in if (all) asked else asked.take(1)) {
+        storeReachabilityChanged(isAnswered)
+        if (!isAnswered) return
+        for (action in part) {
             val value = stored[BudgetRecord.key(action.customer)]
-            val record = if (value == null) BudgetRecord() else decode(value) ?: continue
+            val record = if (value == null) BudgetRecord() else value.record ?: continue
             enterPayments(action, value?.revision ?: 0, record)
         }
         if (!all && asked.size > 1) fetch(asked.drop(1))
     }
 
+    /** Passes on all records, or that of [key]; returns whether the store answered. */
+    private suspend fun readRecords(
+        all: Boolean,
+        key: String,
+        found: (StoredValue) -> Unit
+    ): Boolean {
+        if (all) return store.scanPrefix(BudgetRecord.PREFIX, found) is ScanResult.Complete
+        val read = store.read(key) as? ReadResult.Values ?: return false
+        read.values.forEach(found)
+        return true
+    }
+
     /** Adds payments that the record doesn't contain yet, then reports the record. */
     private suspend fun enterPayments(
         action: BudgetAction.ReadRecord,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -82,6 +82,7 @@
         settings
     )
     private val hostName = HostName(settings.host)
+    private val skippedEntries = SkippedEntries()
     private val broker = TokenBroker(hostName, settings.tokens)
     private val domainHosts = settings.peerAddress?.let { StoreRegisteredHosts(it) }
     private val budgets: DomainBudgets =
@@ -114,6 +115,7 @@
         readerRole,
         FleetEvents(),
         send = { domainHosts?.peers?.tell(it) },
+        skippedEntries,
         now = { clock.now().elapsed }
     )
     private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
@@ -184,6 +186,7 @@
         metrics.gauge("hemlockpond.endpoint.surplus") { pool.surplusCount }
         metrics.gauge("hemlockpond.budget.store.calls") { budgets.storeCalls }
         metrics.gauge("hemlockpond.budget.store.lost") { if (budgets.isStoreReachable) 0 else 1 }
+        metrics.gauge("hemlockpond.store.entries.skipped") { skippedEntries.count }
         metrics.gauge("hemlockpond.peer.hosts") { broker.hosts.size }
         metrics.gauge("hemlockpond.peer.reservations") { broker.heldCount }
         metrics.gauge("hemlockpond.store.reader") {
@@ -346,7 +349,8 @@
             scope,
             settings,
             SystemMachineClock(),
-            peers
+            peers,
+            skippedEntries
         )
 
         fun bind() = peers.start()
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -23,6 +23,7 @@
 import org.hemlockpond.store.KeyValueStore
 import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
 
 /** Receives what [FleetWatcher] reads from the store; all calls are on the event loop. */
 internal interface FleetListener : StoreContact {
@@ -53,6 +54,7 @@
     private val role: StoreReaderRole,
     private val listener: FleetListener,
     private val send: (StoreRevisions) -> Unit,
+    private val skipped: SkippedEntries = SkippedEntries(),
     private val now: () -> Duration
 ) {
     private val operatorKeys =
@@ -64,7 +66,6 @@
     private val shared =
         PrefixWatch(store, settings, role, listener, SharedKeys(), probes = true, now)
     private val watches = listOf(operatorKeys, endpointList, shared)
-    private val loggedInvalidKeys = HashSet<String>()
 
     /** The revision of each known roll-out order, by key. */
     private val rolloutRevisions = HashMap<String, Long>()
@@ -72,8 +73,8 @@
     /** The store's revision of the newest configuration that was read, valid or not. */
     private var configRevision = -1L
 
-    /** The list as it was last read; null for entries that can't be decoded. */
-    private val listedEndpoints = HashMap<EndpointId, ListedEndpoint?>()
+    /** The list as it was last read, without entries that can't be decoded. */
+    private val listedEndpoints = HashMap<EndpointId, ListedEndpoint>()
     private var sharedRevisions: Map<String, Long> = emptyMap()
     private var lastSent: StoreRevisions? = null
     private var nextMessageAt = Duration.ZERO
@@ -131,22 +132,16 @@
     private inner class OperatorKeys : PrefixListener {
         override val prefix get() = format.operatorPrefix
 
-        override fun valuesRead(read: ReadResult.Values): Progress {
-            val orders = read.values.filter { it.key.startsWith(format.rolloutPrefix) }
-            val before = rolloutRevisions.toMap()
-            orders.forEach { reportRollout(it.value, it.revision, it.key) }
-            (before.keys - orders.map { it.key }.toSet()).forEach(::withdrawRollout)
-            val isNew = configRead(read) || before != rolloutRevisions
-            return if (isNew) Progress.CHANGED else Progress.UNCHANGED
-        }
+        override fun startRead() = OperatorRead()
 
         override fun valuesChanged(changes: List<StoreChange>): Progress {
             for (change in changes.filter { it.key.startsWith(format.rolloutPrefix) }) {
-                val order = change.value
-                if (order == null) {
+                val text = change.value
+                if (text == null) {
                     withdrawRollout(change.key)
                 } else {
-                    reportRollout(order, change.revision, change.key)
+                    decodeRollout(StoredValue(change.key, text, change.revision))
+                        ?.let { reportRollout(change.key, it) }
                 }
             }
             return when {
@@ -157,31 +152,64 @@
         }
     }
 
+    private inner class OperatorRead : PrefixRead {
+        private val kept = skipped.KeptEntries(format.operatorPrefix)
+
+        /** The orders by key; null for those that are known. */
+        private val orders = LinkedHashMap<String, NewOrder?>()
+        private var config: StoredValue? = null
+
+        override fun entryRead(entry: StoredValue) {
+            if (entry.key == format.configKey) {
+                config = entry.takeIf { it.revision > configRevision }
+            } else if (entry.key.startsWith(format.rolloutPrefix)) {
+                val known = rolloutRevisions[entry.key]
+                val order = if (known == entry.revision) null else decodeRollout(entry)
+                if (order == null && known == null) return
+                if (known != null || kept.admits(entry.key, entry.revision, entry.value.length)) {
+                    orders[entry.key] = order
+                }
+            }
+        }
+
+        override fun completed(): Progress {
+            val before = rolloutRevisions.toMap()
+            for ((key, order) in orders) order?.let { reportRollout(key, it) }
+            (before.keys - orders.keys).forEach(::withdrawRollout)
+            config?.let { reportConfig(it.value, it.revision) }
+            val isNew = config != null || before != rolloutRevisions
+            return if (isNew) Progress.CHANGED else Progress.UNCHANGED
+        }
+    }
+
+    private class NewOrder(val revision: Long, val order: RolloutOrder)
+
     private fun withdrawRollout(key: String) {
         rolloutRevisions -= key
         listener.rolloutWithdrawn(ServiceId(key.removePrefix(format.rolloutPrefix)))
     }
 
-    /** Reports each order once; the prefix is read again whenever a watch ends. */
-    private fun reportRollout(text: String, revision: Long, key: String) {
-        if (rolloutRevisions.put(key, revision) == revision) return
-        when (val decoded = format.parseRollout(text)) {
-            is Decoded.Value -> listener.rolloutOrdered(decoded.value)
-
-            is Decoded.Invalid -> log(
-                LogEvent.ROLLOUT_INVALID,
-                "key" to key,
-                "revision" to revision,
-                "reason" to decoded.reason
-            )
+    private fun decodeRollout(entry: StoredValue): NewOrder? =
+        when (val decoded = format.parseRollout(entry.value)) {
+            is Decoded.Value -> NewOrder(entry.revision, decoded.value)
+
+            is Decoded.Invalid -> {
+                skipped.skip(
+                    LogEvent.ROLLOUT_INVALID,
+                    entry.key,
+                    entry.revision,
+                    decoded.reason,
+                    once = "${entry.key} ${entry.revision}"
+                )
+                null
+            }
         }
-    }
 
-    private fun configRead(read: ReadResult.Values): Boolean {
-        val value = read.values.firstOrNull { it.key == format.configKey } ?: return false
-        val isNew = value.revision > configRevision
-        if (isNew) reportConfig(value.value, value.revision)
-        return isNew
+    /** Reports each order once; the prefix is read again whenever a watch ends. */
+    private fun reportRollout(key: String, order: NewOrder) {
+        if (rolloutRevisions.put(key, order.revision) != order.revision) {
+            listener.rolloutOrdered(order.order)
+        }
     }
 
     private fun configChanged(changes: List<StoreChange>): Boolean {
@@ -216,17 +244,7 @@
         override val prefix get() = format.endpointPrefix
         override val pause get() = settings.endpointWatchPause
 
-        override fun valuesRead(read: ReadResult.Values): Progress {
-            val entries = read.values.associate {
-                endpointId(it.key) to decode(it.key, it.value, it.revision)
-            }
-            listener.endpointsListed(entries.values.filterNotNull())
-            entries.filterValues { it == null }.keys.forEach { listener.endpointInvalid(it) }
-            if (entries == listedEndpoints) return Progress.UNCHANGED
-            listedEndpoints.clear()
-            listedEndpoints += entries
-            return Progress.CHANGED
-        }
+        override fun startRead() = EndpointRead()
 
         override fun valuesChanged(changes: List<StoreChange>): Progress {
             val before = listedEndpoints.toMap()
@@ -237,11 +255,13 @@
                     listedEndpoints -= id
                     listener.endpointRemoved(id)
                 } else {
-                    val entry = decode(change.key, text, change.revision)
-                    listedEndpoints[id] = entry
+                    val entry = decode(StoredValue(change.key, text, change.revision))
+                        ?.takeIf { id in listedEndpoints || hasRoom(change) }
                     if (entry == null) {
+                        listedEndpoints -= id
                         listener.endpointInvalid(id)
                     } else {
+                        listedEndpoints[id] = entry
                         listener.endpointChanged(entry)
                     }
                 }
@@ -251,25 +271,51 @@
         }
     }
 
+    private inner class EndpointRead : PrefixRead {
+        private val kept = skipped.KeptEntries(format.endpointPrefix)
+        private val entries = LinkedHashMap<EndpointId, ListedEndpoint>()
+
+        override fun entryRead(entry: StoredValue) {
+            val endpoint = decode(entry)
+            if (endpoint == null) {
+                listener.endpointInvalid(endpointId(entry.key))
+            } else if (kept.admits(entry.key, entry.revision, entry.key.length)) {
+                entries[endpoint.id] = endpoint
+            }
+        }
+
+        override fun completed(): Progress {
+            listener.endpointsListed(entries.values.toList())
+            if (entries == listedEndpoints) return Progress.UNCHANGED
+            listedEndpoints.clear()
+            listedEndpoints += entries
+            return Progress.CHANGED
+        }
+    }
+
+    private fun hasRoom(change: StoreChange): Boolean {
+        if (listedEndpoints.size < SkippedEntries.MAX_ENTRIES) return true
+        val prefix = format.endpointPrefix
+        skipped.skip(LogEvent.STORE_LIST_FULL, change.key, change.revision, null, once = prefix)
+        return false
+    }
+
     private fun endpointId(key: String) = EndpointId(key.removePrefix(format.endpointPrefix))
 
-    private fun decode(key: String, text: String, revision: Long): ListedEndpoint? =
-        when (val decoded = format.parseEndpoint(endpointId(key), text)) {
+    private fun decode(entry: StoredValue): ListedEndpoint? =
+        when (val decoded = format.parseEndpoint(endpointId(entry.key), entry.value)) {
             is Decoded.Value -> {
-                loggedInvalidKeys -= key
+                skipped.readable(entry.key)
                 decoded.value
             }
 
             is Decoded.Invalid -> {
-                // Logged once per entry, because the list is read again after every outage.
-                if (loggedInvalidKeys.size < MAX_LOGGED_KEYS && loggedInvalidKeys.add(key)) {
-                    log(
-                        LogEvent.ENDPOINT_ENTRY_INVALID,
-                        "key" to key,
-                        "revision" to revision,
-                        "reason" to decoded.reason
-                    )
-                }
+                skipped.skip(
+                    LogEvent.ENDPOINT_ENTRY_INVALID,
+                    entry.key,
+                    entry.revision,
+                    decoded.reason
+                )
                 null
             }
         }
@@ -277,27 +323,38 @@
     private inner class SharedKeys : PrefixListener {
         override val prefix get() = SharedRecords.PREFIX
 
-        override fun valuesRead(read: ReadResult.Values): Progress {
-            sharedRecords.applyAll(read.values)
-            val revisions = read.values.associate { it.key to it.revision }
-            if (revisions == sharedRevisions) return Progress.UNCHANGED
-            sharedRevisions = revisions
-            return Progress.CHANGED
-        }
+        override fun startRead() = SharedRead()
 
         override fun valuesChanged(changes: List<StoreChange>): Progress {
-            sharedRecords.apply(changes)
-            val (present, deleted) = changes.partition { it.value != null }
+            val unreadable = sharedRecords.apply(changes, skipped)
+            val (present, deleted) =
+                changes.partition { it.value != null && it.key !in unreadable }
             sharedRevisions = sharedRevisions + present.associate { it.key to it.revision } -
                 deleted.map { it.key }.toSet()
             return if (changes.isEmpty()) Progress.UNCHANGED else Progress.CHANGED
         }
     }
 
-    private companion object {
-        /** Limits the memory used to remember logged entries. */
-        const val MAX_LOGGED_KEYS = 1_000
+    private inner class SharedRead : PrefixRead {
+        private val kept = skipped.KeptEntries(SharedRecords.PREFIX)
+        private val records = sharedRecords.startRead(skipped)
+        private val revisions = HashMap<String, Long>()
+
+        override fun entryRead(entry: StoredValue) {
+            val isKept =
+                records.entryRead(entry) { kept.admits(entry.key, entry.revision, it) }
+            if (isKept) revisions[entry.key] = entry.revision
+        }
 
+        override fun completed(): Progress {
+            records.completed()
+            if (revisions == sharedRevisions) return Progress.UNCHANGED
+            sharedRevisions = revisions
+            return Progress.CHANGED
+        }
+    }
+
+    private companion object {
         /** A small key that is there once a host has registered; its value doesn't matter. */
         const val CONTACT_KEY = "hemlockpond/peer-secret"
     }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
@@ -19,13 +19,11 @@
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.entry.HostName
 import org.hemlockpond.router.LogEvent
-import org.hemlockpond.router.decodeRecord
 import org.hemlockpond.router.encodeRecord
 import org.hemlockpond.router.log
 import org.hemlockpond.store.ConditionalWrite
 import org.hemlockpond.store.KeyValueStore
-import org.hemlockpond.store.ReadResult
-import org.hemlockpond.store.StoredValue
+import org.hemlockpond.store.ScanResult
 import org.hemlockpond.store.WriteResult
 
 /**
@@ -50,7 +48,8 @@
     private val scope: CoroutineScope,
     private val settings: EntryRouterSettings,
     private val machine: MachineClock,
-    private val peers: HostPeers
+    private val peers: HostPeers,
+    private val skipped: SkippedEntries = SkippedEntries()
 ) {
     /** The number of store calls since the start. */
     var storeCalls = 0L
@@ -121,24 +120,28 @@
     /** Returns the other hosts of this failure domain; removes entries that weren't refreshed. */
     private suspend fun hostsOfDomain(): Map<HostName, InetSocketAddress>? {
         storeCalls++
-        val read = store.readPrefix(PREFIX) as? ReadResult.Values ?: return null
         val hosts = HashMap<HostName, InetSocketAddress>()
-        for (value in read.values) {
+        val outdated = ArrayList<ConditionalWrite>()
+        val kept = skipped.KeptEntries(PREFIX)
+        val read = store.scanPrefix(PREFIX) { value ->
             val host = HostName(value.key.removePrefix(PREFIX))
-            val entry = decodeRecord(StoredHost.serializer(), value.key, value.value) ?: continue
-            if (machine.wallMillis() - entry.writtenMillis > ENTRY_LIFETIME.inWholeMilliseconds) {
-                remove(value)
-            } else if (entry.domain == domain && host != self) {
+            val entry = skipped.decode(StoredHost.serializer(), value) ?: return@scanPrefix
+            val isOutdated =
+                machine.wallMillis() - entry.writtenMillis > ENTRY_LIFETIME.inWholeMilliseconds
+            val isOther = entry.domain == domain && host != self
+            if (!isOutdated && !isOther) return@scanPrefix
+            if (!kept.admits(value.key, value.revision, value.key.length)) return@scanPrefix
+            if (isOutdated) {
+                outdated += ConditionalWrite(value.key, value.revision, null)
+            } else {
                 addressOf(entry)?.let { hosts[host] = it }
             }
         }
+        if (read !is ScanResult.Complete) return null
+        outdated.forEach { commit(it) }
         return hosts
     }
 
-    private suspend fun remove(value: StoredValue) {
-        commit(ConditionalWrite(value.key, value.revision, null))
-    }
-
     /** An address that isn't numeric would be looked up by name on the event loop. */
     private fun addressOf(entry: StoredHost): InetSocketAddress? {
         val isValid = entry.port in PORTS && NetUtil.isValidIpV4Address(entry.address)
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/LimitRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/LimitRecords.kt
@@ -25,7 +25,6 @@
 import org.hemlockpond.store.KeyValueStore
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
-import org.hemlockpond.store.StoreChange
 import org.hemlockpond.store.StoredValue
 import org.hemlockpond.store.WriteResult
 
@@ -39,6 +38,9 @@
     val process: EndpointProcess get() = EndpointProcess(endpoint, started)
 }
 
+/** A claim that was stored at [revision]. */
+internal class LimitClaim(val process: EndpointProcess, val revision: Long)
+
 internal class LimitRecords(
     self: RouterId,
     private val store: KeyValueStore,
@@ -47,12 +49,10 @@
     private val clock: RouterClock,
     private val limits: EndpointLimits
 ) {
-    private class Claim(val process: EndpointProcess, val revision: Long)
-
     private val ownPrefix = "$PREFIX${self.value.replace('/', '.')}/"
 
     /** The claims of all hosts, by key. */
-    private val claims = HashMap<String, Claim>()
+    private val claims = HashMap<String, LimitClaim>()
 
     /** When the endpoints that have a limit last named it to this host. */
     private val namedAt = HashMap<EndpointProcess, Duration>()
@@ -134,11 +134,11 @@
     private suspend fun write(write: ConditionalWrite) {
         when (val result = store.commit(listOf(write))) {
             is WriteResult.Applied ->
-                applyChange(StoreChange(write.key, write.value, result.revision))
+                storedChanged(write.key, write.value, result.revision)
 
             is WriteResult.Conflict -> {
                 val current = result.current.firstOrNull { it.key == write.key }
-                applyChange(StoreChange(write.key, current?.value, current?.revision ?: 0))
+                storedChanged(write.key, current?.value, current?.revision ?: 0)
             }
 
             // The lease may have ended.
@@ -153,24 +153,29 @@
 
     private fun claimsOf(process: EndpointProcess) = claims.filterValues { it.process == process }
 
-    /** Applies a complete read of the claims. */
-    fun applyAll(values: List<StoredValue>) {
-        val present = values.mapTo(HashSet()) { it.key }
-        (claims.keys - present).forEach { applyChange(StoreChange(it, null, 0)) }
-        apply(values.map { StoreChange(it.key, it.value, it.revision) })
-    }
+    fun decode(entry: StoredValue, skipped: SkippedEntries): LimitClaim? =
+        skipped.decode(StoredLimitClaim.serializer(), entry)
+            ?.let { LimitClaim(it.process, entry.revision) }
 
-    fun apply(changes: List<StoreChange>) = changes.forEach(::applyChange)
+    /** Applies a complete read of the claims, by key. */
+    fun applyAll(read: Map<String, LimitClaim>) {
+        (claims.keys - read.keys).forEach { claimChanged(it, null) }
+        read.forEach(::claimChanged)
+    }
 
-    private fun applyChange(change: StoreChange) {
-        val text = change.value
-        val claim = text?.let { decodeRecord(StoredLimitClaim.serializer(), change.key, it) }
-            ?.let { Claim(it.process, change.revision) }
-        val before = if (claim == null) claims.remove(change.key) else claims.put(change.key, claim)
+    /** The claim under [key] is now [claim]; null if there is none that can be read. */
+    fun claimChanged(key: String, claim: LimitClaim?) {
+        val before = if (claim == null) claims.remove(key) else claims.put(key, claim)
         if (before?.revision == claim?.revision) return
         setOfNotNull(before?.process, claim?.process).forEach(::updateClaims)
     }
 
+    private fun storedChanged(key: String, text: String?, revision: Long) = claimChanged(
+        key,
+        text?.let { decodeRecord(StoredLimitClaim.serializer(), key, it) }
+            ?.let { LimitClaim(it.process, revision) }
+    )
+
     private fun updateClaims(process: EndpointProcess) {
         val all = claimsOf(process)
         val own = all.entries.firstOrNull { it.key.startsWith(ownPrefix) }?.value
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/MeteredStore.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/MeteredStore.kt
@@ -12,7 +12,9 @@
 import org.hemlockpond.store.LeaseId
 import org.hemlockpond.store.LeaseResult
 import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.ScanResult
 import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
 import org.hemlockpond.store.WriteResult
 
 /** How a call to the store ended. */
@@ -36,6 +38,9 @@
     override suspend fun readPrefix(prefix: String): ReadResult =
         store.readPrefix(prefix).also { count(purpose(prefix), outcome(it)) }
 
+    override suspend fun scanPrefix(prefix: String, entry: (StoredValue) -> Unit): ScanResult =
+        store.scanPrefix(prefix, entry).also { count(purpose(prefix), outcome(it)) }
+
     override suspend fun commit(writes: List<ConditionalWrite>): WriteResult =
         store.commit(writes).also { count(purpose(writes.first().key), outcome(it)) }
 
@@ -60,6 +65,11 @@
         is ReadResult.Unavailable -> StoreOutcome.UNANSWERED
     }
 
+    private fun outcome(scan: ScanResult) = when (scan) {
+        is ScanResult.Complete -> StoreOutcome.APPLIED
+        is ScanResult.Unavailable -> StoreOutcome.UNANSWERED
+    }
+
     private fun outcome(write: WriteResult) = when (write) {
         is WriteResult.Applied -> StoreOutcome.APPLIED
         is WriteResult.Conflict -> StoreOutcome.CONFLICT
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/PrefixWatch.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/PrefixWatch.kt
@@ -23,8 +23,9 @@
 import org.hemlockpond.router.LogEvent
 import org.hemlockpond.router.log
 import org.hemlockpond.store.KeyValueStore
-import org.hemlockpond.store.ReadResult
+import org.hemlockpond.store.ScanResult
 import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
 
 /** What a read or a watch has brought. */
 internal enum class Progress {
@@ -42,11 +43,21 @@
     /** The delay between two calls of a watch. */
     val pause: Duration get() = Duration.ZERO
 
-    fun valuesRead(read: ReadResult.Values): Progress
+    /** Begins a read of all entries. */
+    fun startRead(): PrefixRead
 
     fun valuesChanged(changes: List<StoreChange>): Progress
 }
 
+/** One read of all entries under a prefix; nothing takes effect if it isn't completed. */
+internal interface PrefixRead {
+    /** Keeps what is used of [entry]. */
+    fun entryRead(entry: StoredValue)
+
+    /** Applies what was kept of all entries. */
+    fun completed(): Progress
+}
+
 /** Whether the store answers this host. */
 internal interface StoreContact {
     val isReachable: Boolean
@@ -88,10 +99,16 @@
     suspend fun run() = coroutineScope {
         while (isActive) {
             awaitTurn()
-            val read = store.readPrefix(prefix)
-            callEnded((read as? ReadResult.Unavailable)?.cause)
-            if (read !is ReadResult.Values) continue
-            val progress = handled { listener.valuesRead(read) }
+            val entries = listener.startRead()
+            val read = store.scanPrefix(prefix) { entry ->
+                handled {
+                    entries.entryRead(entry)
+                    Progress.UNCHANGED
+                }
+            }
+            callEnded((read as? ScanResult.Unavailable)?.cause)
+            if (read !is ScanResult.Complete) continue
+            val progress = handled { entries.completed() }
             readRevision = read.revision
             // A revision that the store doesn't have must not be looked for without end.
             toldRevision = minOf(toldRevision, readRevision)
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/PrefixWatchTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/PrefixWatchTest.kt
@@ -14,8 +14,8 @@
 import org.hemlockpond.core.entry.HostName
 import org.hemlockpond.core.entry.StoreReaderRole
 import org.hemlockpond.core.entry.StoreReaderSettings
-import org.hemlockpond.store.ReadResult
 import org.hemlockpond.store.StoreChange
+import org.hemlockpond.store.StoredValue
 
 @OptIn(ExperimentalCoroutinesApi::class)
 class PrefixWatchTest {
@@ -43,9 +43,10 @@
         override val prefix = "k/"
         val seen = LinkedHashMap<String, String?>()
 
-        override fun valuesRead(read: ReadResult.Values): Progress {
-            read.values.forEach { put(it.key, it.value) }
-            return Progress.CHANGED
+        override fun startRead() = object : PrefixRead {
+            override fun entryRead(entry: StoredValue) = put(entry.key, entry.value)
+
+            override fun completed() = Progress.CHANGED
         }
 
         override fun valuesChanged(changes: List<StoreChange>): Progress {
--- a/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/JsonHttpClient.kt
@@ -65,20 +65,26 @@
     suspend fun post(address: InetSocketAddress, path: String, body: String): HttpResult =
         call(address, HttpMethod.POST, path, body)
 
-    /** Makes one call; [limit] bounds connecting and each wait for bytes. */
+    /**
+     * Makes one call.
+     *
+     * @param limit bounds connecting and each wait for bytes
+     * @param maxBytes the size of the answer's body beyond which the call fails
+     */
     suspend fun call(
         address: InetSocketAddress,
         method: HttpMethod,
         path: String,
         body: String = "",
-        limit: Duration = timeout
+        limit: Duration = timeout,
+        maxBytes: Int = MAX_ANSWER_BYTES
     ): HttpResult = suspendCancellableCoroutine { continuation ->
         val handler = AnswerHandler(continuation)
         val connected = bootstrap {
             addLast(ReadTimeoutHandler(limit.inWholeMilliseconds, TimeUnit.MILLISECONDS))
             addLast(ConnectionLossHandler())
             addLast(HttpClientCodec())
-            addLast(HttpObjectAggregator(MAX_ANSWER_BYTES))
+            addLast(HttpObjectAggregator(maxBytes))
             addLast(handler)
         }.connect(address)
         connected.addListener {
--- a/store/src/main/kotlin/org/hemlockpond/store/KeyValueStore.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/KeyValueStore.kt
@@ -20,6 +20,20 @@
     /** Reads all keys that start with [prefix]. */
     suspend fun readPrefix(prefix: String): ReadResult
 
+    /**
+     * Reads all keys that start with [prefix] and passes each to [entry]. A store that answers in
+     * pages holds one page at a time.
+     */
+    suspend fun scanPrefix(prefix: String, entry: (StoredValue) -> Unit): ScanResult =
+        when (val read = readPrefix(prefix)) {
+            is ReadResult.Values -> {
+                read.values.forEach(entry)
+                ScanResult.Complete(read.revision)
+            }
+
+            is ReadResult.Unavailable -> ScanResult.Unavailable(read.cause)
+        }
+
     /** Applies all [writes] or none of them. */
     suspend fun commit(writes: List<ConditionalWrite>): WriteResult
 
--- a/store/src/main/kotlin/org/hemlockpond/store/StoreTypes.kt
+++ b/store/src/main/kotlin/org/hemlockpond/store/StoreTypes.kt
@@ -16,6 +16,15 @@
     data class Unavailable(val cause: String) : ReadResult
 }
 
+/** The result of reading a prefix entry by entry. */
+sealed interface ScanResult {
+    /** All entries were passed on; the store's [revision] is that of the start of the read. */
+    data class Complete(val revision: Long) : ScanResult
+
+    /** The store could not be reached, or answered with an error; some entries were passed on. */
+    data class Unavailable(val cause: String) : ScanResult
+}
+
 /**
  * A write that applies only if the key's revision is [expectedRevision]; 0 stands for an absent key.
  *
