Start long-lived parts of an entry router again whatever ended them

Cause: each long-lived coroutine was launched by itself and handled exceptions at most.

Change: PartSupervisor runs the parts. An end that wasn't asked for is logged with its cause (HP1823), counted (hemlockpond_part_ends_total) and followed by a new start after 200 ms, growing up to 5 s. The host isn't ready until the part has caught up. The tick and the check of the settings file go on after whatever they throw, and a budget call that throws counts as one with an unknown outcome. Errors of the JVM don't end the process; design.md, section 5.1, says why.

--- a/router/src/main/kotlin/org/hemlockpond/router/RouterMetrics.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/RouterMetrics.kt
@@ -43,6 +43,9 @@
         outcome
     ).increment()
 
+    fun partEnded(part: String) =
+        registry.counter("hemlockpond.part.ends", "part", part).increment()
+
     fun gauge(name: String, value: () -> Number) {
         registry.gauge(name, value) { it().toDouble() }
         // The registry holds gauge functions weakly.
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CrashRecords.kt
@@ -8,9 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.minutes
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.RouterId
@@ -99,7 +97,7 @@
     self: RouterId,
     private val store: KeyValueStore,
     private val settings: EntryRouterSettings,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val clock: RouterClock,
     private val listener: CrashListener
 ) : CrashReporter {
@@ -124,7 +122,7 @@
             return
         }
         pendingCrashes[of] = HashMap(report.suspects)
-        scope.launch {
+        parts.runOnce("crash records") {
             delay(CRASH_DELAY)
             val all = pendingCrashes.remove(of).orEmpty()
             write(
@@ -148,7 +146,7 @@
             return
         }
         pendingClearances[service] = LinkedHashSet(suspects)
-        scope.launch {
+        parts.runOnce("crash records") {
             delay(CLEARANCE_DELAY)
             val all = pendingClearances.remove(service).orEmpty()
             write(StoredCrashRecord(service, cleared = StoredSuspects.of(all)))
@@ -206,14 +204,24 @@
     fun apply(crashes: List<ReceivedCrash>) {
         for (crash in crashes.sortedBy { it.revision }) {
             if (crash.revision <= appliedRevision) continue
+            val before = appliedRevision
             appliedRevision = crash.revision
-            val record = crash.record
-            record.toReport()?.let { listener.crashReported(it) }
-            val cleared = record.cleared.toSuspects()
-            if (cleared.isNotEmpty()) listener.suspectsCleared(record.service, cleared)
+            try {
+                apply(crash.record)
+            } catch (e: Error) {
+                // The records are read again after an error.
+                appliedRevision = before
+                throw e
+            }
         }
     }
 
+    private fun apply(record: StoredCrashRecord) {
+        record.toReport()?.let { listener.crashReported(it) }
+        val cleared = record.cleared.toSuspects()
+        if (cleared.isNotEmpty()) listener.suspectsCleared(record.service, cleared)
+    }
+
     companion object {
         const val PREFIX = "hemlockpond/shared/suspects/"
 
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryBudgets.kt
@@ -8,9 +8,7 @@
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.hemlockpond.core.CustomerId
 import org.hemlockpond.core.ErrorKind
 import org.hemlockpond.core.FailureDomain
@@ -59,7 +57,7 @@
     domain: FailureDomain,
     settings: BudgetSettings,
     private val store: KeyValueStore,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val clock: RouterClock,
     private val marks: HostMarks,
     private val listener: BudgetListener
@@ -101,7 +99,7 @@
      */
     fun start() {
         handle(BudgetEvent.LeaseRenewed(clock.now()))
-        scope.launch {
+        parts.keepUntilDone("marks of earlier runs") {
             storeCalls++
             while (!marks.read()) {
                 delay(MARKS_RETRY_DELAY)
@@ -156,7 +154,10 @@
 
                 is BudgetAction.WriteRecord -> writeRecord(action)
 
-                is BudgetAction.WriteMark -> scope.launch { writeMark(action) }
+                is BudgetAction.WriteMark -> parts.runOnce(
+                    "spend marks",
+                    failed = { handle(BudgetEvent.MarkWritten(action.sequence, false)) }
+                ) { writeMark(action) }
 
                 // Entry routers have no peers: they share tokens only through the budget record.
                 is BudgetAction.SendToPeer -> Unit
@@ -173,7 +174,8 @@
         pendingReads += action
         if (readScheduled) return
         readScheduled = true
-        scope.launch {
+        // The budget holder requests reads that weren't answered again.
+        parts.runOnce("budget reads") {
             readScheduled = false
             val batch = pendingReads.toList()
             pendingReads.clear()
@@ -326,14 +328,24 @@
         pendingWrites += action
         if (writeScheduled) return
         writeScheduled = true
-        scope.launch {
+        var batch = emptyList<BudgetAction.WriteRecord>()
+        parts.runOnce("budget writes", failed = { writesFailed(batch) }) {
             writeScheduled = false
-            val batch = pendingWrites.take(MAX_BATCHED_WRITES)
+            batch = pendingWrites.take(MAX_BATCHED_WRITES)
             pendingWrites.subList(0, batch.size).clear()
             commit(batch)
         }
     }
 
+    /** Outcomes that were reported before are ignored by their sequence numbers. */
+    private fun writesFailed(batch: List<BudgetAction.WriteRecord>) {
+        for (action in batch) {
+            cachedRecords -= action.customer
+            val unknown = WriteOutcome.Unknown
+            handle(BudgetEvent.RecordWritten(action.customer, action.sequence, unknown))
+        }
+    }
+
     /** Writes [batch] in one transaction; a conflict of some records doesn't hold up the others. */
     private suspend fun commit(batch: List<BudgetAction.WriteRecord>) {
         storeCalls++
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRouter.kt
@@ -82,13 +82,14 @@
         settings
     )
     private val hostName = HostName(settings.host)
+    private val parts = PartSupervisor(scope, { clock.now().elapsed }, metrics::partEnded)
     private val skippedEntries = SkippedEntries()
     private val broker = TokenBroker(hostName, settings.tokens)
     private val domainHosts = settings.peerAddress?.let { StoreRegisteredHosts(it) }
     private val budgets: DomainBudgets =
         DomainBudgets(broker, domainHosts, clock, BudgetEvents(), ::createBudgets)
-    private val crashRecords = CrashRecords(id, store, settings, scope, clock, CrashEvents())
-    private val limitRecords = LimitRecords(id, store, settings, scope, clock, limits)
+    private val crashRecords = CrashRecords(id, store, settings, parts, clock, CrashEvents())
+    private val limitRecords = LimitRecords(id, store, settings, parts, clock, limits)
     private val sharedRecords = SharedRecords(crashRecords, limitRecords)
     private val lateness = LoopLateness(settings.lateLoopLimit)
     private val requests: EntryRequests =
@@ -110,7 +111,7 @@
         store,
         format,
         settings,
-        scope,
+        parts,
         sharedRecords,
         readerRole,
         FleetEvents(),
@@ -118,7 +119,7 @@
         skippedEntries,
         now = { clock.now().elapsed }
     )
-    private val rolloutRefusal = RolloutRefusal(store, format, settings, scope)
+    private val rolloutRefusal = RolloutRefusal(store, format, settings, parts)
     private val connections = HashSet<CallerConnection>()
     private val bodies = RequestBodies(settings.maxRequestBodyBytes)
     private val listeners = ArrayList<Channel>()
@@ -142,7 +143,7 @@
         settings.domain,
         settings.budget,
         store,
-        scope,
+        parts,
         clock,
         HostMarks(id, settings.callerAddress.toString(), store, clock, SystemMachineClock()),
         listener
@@ -221,11 +222,11 @@
         val millis = interval.inWholeMilliseconds
         loop.scheduleWithFixedDelay(
             {
-                // An exception would cancel the scheduled task.
+                // An exception or error would cancel the scheduled task.
                 try {
                     block()
-                } catch (e: Exception) {
-                    log(LogEvent.CONTROL_FAILED, cause = e)
+                } catch (e: Throwable) {
+                    parts.taskFailed("tick", e)
                 }
             },
             millis,
@@ -276,6 +277,9 @@
         log(LogEvent.SETTINGS_RELOADED, "stop limit" to next.stopLimit)
     }
 
+    /** Reports that a repeated [task] of the process has thrown [cause]; it goes on. */
+    fun taskFailed(task: String, cause: Throwable) = parts.taskFailed(task, cause)
+
     /** Logs the [errors] of a changed settings file, which is ignored. */
     fun reloadRefused(errors: List<String>) =
         log(LogEvent.SETTINGS_REFUSED, "errors" to errors.joinToString("; "))
@@ -291,7 +295,7 @@
 
     private val isReady: Boolean
         get() = config != null && endpointListRead && sharedRecords.isRead &&
-            !entryStop.isStopping && !isCutOffFromStore
+            !entryStop.isStopping && !isCutOffFromStore && parts.areCaughtUp
 
     private fun readiness(): StatusPage =
         if (isReady) StatusPage(OK, "ready\n") else StatusPage(UNAVAILABLE, "not ready\n")
@@ -346,7 +350,7 @@
             settings.domain,
             address,
             store,
-            scope,
+            parts,
             settings,
             SystemMachineClock(),
             peers,
@@ -387,10 +391,11 @@
         override fun configReceived(config: EntryConfig, revision: Long) {
             val known = this@EntryRouter.config
             if (known != null && config.version <= known.version) return
-            this@EntryRouter.config = config
             callerIdleTimeout.update(config.limits.idleTimeout, clock.now().elapsed)
             requests.configChanged(config)
             budgets.configChanged(config)
+            // Last, so that a configuration whose use broke off is applied again.
+            this@EntryRouter.config = config
             log(
                 LogEvent.CONFIG_APPLIED,
                 "version" to config.version,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/FleetWatcher.kt
@@ -5,11 +5,9 @@
 package org.hemlockpond.router.entry
 
 import kotlin.time.Duration
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.entry.EntryConfig
 import org.hemlockpond.core.entry.HostName
@@ -49,7 +47,7 @@
     private val store: KeyValueStore,
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val sharedRecords: SharedRecords,
     private val role: StoreReaderRole,
     private val listener: FleetListener,
@@ -83,12 +81,14 @@
     private var contactAt = -Duration.INFINITE
 
     fun start() {
-        watches.forEach { scope.launch { it.run() } }
-        scope.launch { checkContact() }
+        parts.keep("operator keys") { operatorKeys.run(it) }
+        parts.keep("endpoint list") { endpointList.run(it) }
+        parts.keep("shared records") { shared.run(it) }
+        parts.keep("store contact") { checkContact(it) }
     }
 
     /** A watch of a connection that is cut off shows it only when its wait is over. */
-    private suspend fun checkContact() = coroutineScope {
+    private suspend fun checkContact(caughtUp: () -> Unit) = coroutineScope {
         while (isActive) {
             val sentAt = now()
             if (role.others.isNotEmpty() && listener.isReachable && role.isReader(sentAt)) {
@@ -100,6 +100,7 @@
                     listener.callEnded(false, (read as ReadResult.Unavailable).cause)
                 }
             }
+            caughtUp()
             delay(settings.reader.contactInterval)
         }
     }
@@ -132,6 +133,11 @@
     private inner class OperatorKeys : PrefixListener {
         override val prefix get() = format.operatorPrefix
 
+        override fun watchBegins() {
+            configRevision = -1
+            rolloutRevisions.replaceAll { _, _ -> -1 }
+        }
+
         override fun startRead() = OperatorRead()
 
         override fun valuesChanged(changes: List<StoreChange>): Progress {
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/HostRegistry.kt
@@ -11,10 +11,7 @@
 import java.util.Base64
 import kotlin.time.Duration.Companion.hours
 import kotlin.time.Duration.Companion.milliseconds
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.isActive
-import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import org.hemlockpond.core.FailureDomain
 import org.hemlockpond.core.entry.HostName
@@ -45,7 +42,7 @@
     private val domain: FailureDomain,
     private val address: InetSocketAddress,
     private val store: KeyValueStore,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val settings: EntryRouterSettings,
     private val machine: MachineClock,
     private val peers: HostPeers,
@@ -55,16 +52,23 @@
     var storeCalls = 0L
         private set
 
+    /** Whether the hosts of the domain were found once. */
+    private var isDone = false
+
     /** Registers the host, tells [peers] the fleet's secret and its hosts, and calls [done] once. */
     fun start(done: (Set<HostName>) -> Unit) {
-        scope.launch {
+        parts.keep("host registry") { caughtUp ->
             peers.secretKnown(retried { secret() })
             retried { if (register()) true else null }
             val hosts = retried { hostsOfDomain() }
             hosts.forEach { (host, at) -> peers.hostFound(host, at) }
             log(LogEvent.HOST_REGISTERED, "host" to self, "peers" to hosts.keys.joinToString())
-            done(hosts.keys)
-            while (isActive) {
+            if (!isDone) {
+                done(hosts.keys)
+                isDone = true
+            }
+            caughtUp()
+            while (true) {
                 delay(REFRESH_INTERVAL)
                 retried { if (register()) true else null }
             }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/LimitRecords.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/LimitRecords.kt
@@ -7,9 +7,7 @@
 
 import kotlin.time.Duration
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.serialization.Serializable
 import org.hemlockpond.core.EndpointId
 import org.hemlockpond.core.RouterId
@@ -45,7 +43,7 @@
     self: RouterId,
     private val store: KeyValueStore,
     private val settings: EntryRouterSettings,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val clock: RouterClock,
     private val limits: EndpointLimits
 ) {
@@ -80,12 +78,12 @@
         }
         if (!isRunning) {
             isRunning = true
-            scope.launch { keepClaims() }
+            parts.keepUntilDone("limit claims") { keepClaims(it) }
         }
     }
 
     /** Keeps the stored claims equal to the wanted ones, and renews their lease. */
-    private suspend fun keepClaims() {
+    private suspend fun keepClaims(caughtUp: () -> Unit) {
         var renewAt = -Duration.INFINITE
         while (namedAt.isNotEmpty() || ownClaims().isNotEmpty()) {
             val now = now()
@@ -93,6 +91,7 @@
             val isRenewalDue = lease == null || now >= renewAt
             if (namedAt.isNotEmpty() && isRenewalDue && renewLease()) renewAt = now + RENEWAL
             writeClaims()
+            caughtUp()
             delay(settings.claimInterval)
         }
         isRunning = false
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/PrefixWatch.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/PrefixWatch.kt
@@ -43,6 +43,9 @@
     /** The delay between two calls of a watch. */
     val pause: Duration get() = Duration.ZERO
 
+    /** The watch begins, perhaps after an error that broke off what was being applied. */
+    fun watchBegins() = Unit
+
     /** Begins a read of all entries. */
     fun startRead(): PrefixRead
 
@@ -96,7 +99,11 @@
         wakeUp.trySend(Unit)
     }
 
-    suspend fun run() = coroutineScope {
+    /** Follows the prefix; calls [caughtUp] after each read of all entries. */
+    suspend fun run(caughtUp: () -> Unit = {}) = coroutineScope {
+        readRevision = -1
+        isBehind = false
+        listener.watchBegins()
         while (isActive) {
             awaitTurn()
             val entries = listener.startRead()
@@ -110,6 +117,7 @@
             if (read !is ScanResult.Complete) continue
             val progress = handled { entries.completed() }
             readRevision = read.revision
+            caughtUp()
             // A revision that the store doesn't have must not be looked for without end.
             toldRevision = minOf(toldRevision, readRevision)
             if (changedAt < 0 || progress != Progress.UNCHANGED) changedAt = read.revision
@@ -123,7 +131,10 @@
     }
 
     private suspend fun watch(fromRevision: Long) = store.watch(prefix, fromRevision)
-        .catch { log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it) }
+        .catch {
+            if (it is Error) throw it
+            log(LogEvent.WATCH_ENDED, "prefix" to prefix, cause = it)
+        }
         .takeWhile { changes ->
             callEnded(failure = null)
             val progress = handled { listener.valuesChanged(changes) }
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/RolloutRefusal.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/RolloutRefusal.kt
@@ -6,10 +6,8 @@
 
 import kotlin.random.Random
 import kotlin.time.Duration.Companion.seconds
-import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import org.hemlockpond.core.entry.RolloutOrder
 import org.hemlockpond.core.entry.ServiceId
 import org.hemlockpond.router.LogEvent
@@ -23,7 +21,7 @@
     private val store: KeyValueStore,
     private val format: FleetFormat,
     private val settings: EntryRouterSettings,
-    private val scope: CoroutineScope,
+    private val parts: PartSupervisor,
     private val random: Random = Random.Default
 ) {
     private val jobs = HashMap<ServiceId, Job>()
@@ -31,7 +29,7 @@
     /** Writes that [order] is rolled back, unless its final state is known to the store. */
     fun refuse(order: RolloutOrder) {
         jobs.remove(order.service)?.cancel()
-        jobs[order.service] = scope.launch {
+        jobs[order.service] = parts.keepUntilDone("roll-out refusal") {
             delay(MAX_DELAY * random.nextDouble())
             while (!writeIfUndecided(order)) delay(settings.storeRetryDelay)
         }
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/EntryBudgetsTest.kt
@@ -56,7 +56,8 @@
     private fun TestScope.budgets(): EntryBudgets {
         val marks = HostMarks(self, "10.0.0.1:80", store, { now }, Machine)
         val settings = entryBudgetSettings
-        return EntryBudgets(self, domain, settings, store, this, { now }, marks, Listener)
+        val parts = PartSupervisor(this, now = { Duration.ZERO })
+        return EntryBudgets(self, domain, settings, store, parts, { now }, marks, Listener)
     }
 
     private fun config(customers: Int): EntryConfig {
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/FleetSimulation.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/FleetSimulation.kt
@@ -233,22 +233,23 @@
             budget = domainBudgetSettings(shape.domains)
         )
         val client = store.Client(settings)
+        private val parts = PartSupervisor(scope, ::elapsed)
         private val broker = TokenBroker(name, settings.tokens, Random(number))
         private val role = StoreReaderRole(name, settings.reader) {
             if (shape.sharesWatches) broker.hosts else emptySet()
         }
         private val budgets = DomainBudgets(broker, Datagrams(), ::now, this) { listener ->
             val marks = HostMarks(id, name.value, client, ::now, Machine())
-            EntryBudgets(id, domain, settings.budget, client, scope, ::now, marks, listener)
+            EntryBudgets(id, domain, settings.budget, client, parts, ::now, marks, listener)
         }
         private val fleet = FleetEvents()
-        private val crashes = CrashRecords(id, client, settings, scope, ::now, fleet)
-        private val limits = LimitRecords(id, client, settings, scope, ::now, EndpointLimits())
+        private val crashes = CrashRecords(id, client, settings, parts, ::now, fleet)
+        private val limits = LimitRecords(id, client, settings, parts, ::now, EndpointLimits())
         private val watcher: FleetWatcher = FleetWatcher(
             client,
             format,
             settings,
-            scope,
+            parts,
             SharedRecords(crashes, limits),
             role,
             fleet,
--- a/router/src/test/kotlin/org/hemlockpond/router/entry/PrefixWatchTest.kt
+++ b/router/src/test/kotlin/org/hemlockpond/router/entry/PrefixWatchTest.kt
@@ -6,7 +6,6 @@
 import kotlin.time.Duration.Companion.milliseconds
 import kotlin.time.Duration.Companion.seconds
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.test.TestScope
 import kotlinx.coroutines.test.advanceTimeBy
 import kotlinx.coroutines.test.runTest
@@ -38,7 +37,7 @@
         }
     }
 
-    /** Remembers the values; throws for the value "odd". */
+    /** Remembers the values; throws for the values "odd" and "error". */
     private class Values : PrefixListener {
         override val prefix = "k/"
         val seen = LinkedHashMap<String, String?>()
@@ -56,6 +55,7 @@
 
         private fun put(key: String, value: String?) {
             check(value != "odd") { "odd value" }
+            if (value == "error") throw OutOfMemoryError("thrown by the test")
             seen[key] = value
         }
     }
@@ -69,7 +69,8 @@
         val contact = Contact()
         val watch =
             PrefixWatch(client, settings, role, contact, values, probes = true, now = ::now)
-        private val job = scope.backgroundScope.launch { watch.run() }
+        val parts = PartSupervisor(scope.backgroundScope, ::now)
+        private val job = parts.keep("watch") { watch.run(it) }
 
         fun now() = scope.testScheduler.currentTime.milliseconds
 
@@ -99,6 +100,23 @@
         assertEquals(true, bed.isRunning())
     }
 
+    /** Guards against an error of the JVM that ends the watch, and a host that says it follows the store. */
+    @Test
+    fun errorOfTheListenerStartsTheWatchAgain() = runTest {
+        val bed = Bed(this)
+        bed.store.put("k/a", "1")
+        bed.run(1)
+        assertEquals(true, bed.parts.areCaughtUp)
+        bed.store.put("k/b", "error")
+        bed.store.put("k/c", "2")
+        bed.run(20)
+        assertEquals(false, bed.parts.areCaughtUp)
+        bed.store.put("k/b", "3")
+        bed.run(6)
+        assertEquals(mapOf("k/a" to "1", "k/b" to "3", "k/c" to "2"), bed.values.seen.toMap())
+        assertEquals(true, bed.parts.areCaughtUp)
+    }
+
     /** Guards against calls of a host for which another one watches. */
     @Test
     fun hostThatFollowsReadsOnlyWhatItIsToldOf() = runTest {
