Cancel an attempt that waits for its connection

An attempt at a silent endpoint may be cancelled while its connection is still being opened. If the request then had to wait for another endpoint, the number of the attempt was unchanged, and the cancelled one was sent once its connection stood. The next attempt ran beside it, and both fed one exchange: their bodies were joined, and a rejected success could replace the status of a failure of the other, whose fields and seal were kept.

Each send has a number, which a cancellation invalidates; a connection is attached only after the one before it was cancelled; a rejected answer changes no status.

That the attempts overlap was shown on the dispatcher and the exchange apart, not over sockets. Also, the wait for the end of an answer to another request allows for a late event loop.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -289,8 +289,11 @@
         val number = ++skippedAnswers
         channel.eventLoop().schedule(
             {
-                if (skipping && number == skippedAnswers) {
-                    fail("an answer to another request without an end", connectionLost = false)
+                // If the event loop is late, the end may have arrived without having been read.
+                channel.eventLoop().runAfterNextRead {
+                    if (skipping && number == skippedAnswers) {
+                        fail("an answer to another request without an end", connectionLost = false)
+                    }
                 }
             },
             MAX_DISCARD_MILLIS,
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryExchange.kt
@@ -86,6 +86,9 @@
     var finished = false
         private set
 
+    /** The number of sends that were begun or cancelled. */
+    private var sends = 0
+
     /** Whether an attempt may be running at an endpoint. */
     val isAttemptRunning: Boolean get() = connection != null
 
@@ -142,7 +145,15 @@
     fun mayUse(endpointConnection: EndpointConnection): Boolean =
         endpointConnection !in usedConnections
 
+    /** Begins a send, which waits for a connection; returns its number for [isCurrentSend]. */
+    fun beginSend(): Int = ++sends
+
+    /** Whether the send wasn't cancelled while it waited for its connection, and no other was begun. */
+    fun isCurrentSend(number: Int): Boolean = !finished && number == sends
+
     fun attach(endpointConnection: EndpointConnection) {
+        // Two attempts at once would join their answers.
+        cancelAttempt()
         connection = endpointConnection
         usedConnections += endpointConnection
         headReceived = false
@@ -158,7 +169,6 @@
     override fun head(response: HttpResponse, answer: AnswerHead) {
         listener.bytesReceived(this)
         headReceived = true
-        status = response.status()
         if (answer.requestLimit != null || answer.genuine) {
             listener.limitNamed(this, answer.requestLimit)
         }
@@ -168,6 +178,7 @@
             rejectAnswer(rejection)
             return
         }
+        status = response.status()
         if (!headSent) headers = dialect.callerHeaders(response)
         if (!streaming) beginAnswer()
     }
@@ -354,8 +365,9 @@
         )
     }
 
-    /** Cancels the current attempt, if any. */
+    /** Cancels the current attempt, if any, also one that waits for its connection. */
     fun cancelAttempt() {
+        sends++
         val current = connection ?: return
         connection = null
         mayHaveRun = true
--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EntryRequests.kt
@@ -289,6 +289,7 @@
         exchange.endpoint = endpoint.process
         val address = InetSocketAddress(endpoint.host, endpoint.port)
         exchange.endpointAddress = address
+        val send = exchange.beginSend()
         // The endpoint may close an idle connection while a request is being sent on it. A request
         // that is unsafe to repeat can't be retried then.
         val unsafe = exchange.request.route.retrySafety == RetrySafety.UNSAFE
@@ -296,23 +297,27 @@
         pool.acquire(address, maxIdle, exchange::mayUse) { connection, cause ->
             if (lateness.isLate(now())) {
                 // The caller may have left while the request waited for the connection, or before.
-                loop.runAfterNextRead { sendOn(connection, exchange, action, cause) }
+                loop.runAfterNextRead { sendOn(connection, exchange, action, send, cause) }
             } else {
-                sendOn(connection, exchange, action, cause)
+                sendOn(connection, exchange, action, send, cause)
             }
         }
     }
 
-    /** Sends the request on [connection]; null if there is none because of [cause]. */
+    /**
+     * Sends the request on [connection]; null if there is none because of [cause].
+     *
+     * @param send the number of the send, which may have been cancelled meanwhile
+     */
     private fun sendOn(
         connection: EndpointConnection?,
         exchange: EntryExchange,
         action: EntryAction.Send,
+        send: Int,
         cause: Throwable?
     ) {
         when {
-            exchange.finished || exchange.attempts != action.attempt ->
-                connection?.channel?.close()
+            !exchange.isCurrentSend(send) -> connection?.channel?.close()
 
             connection == null || !connection.channel.isActive -> {
                 logFailedAttempt(exchange, "not connected: ${cause?.message}")
