Let a refused caller send the rest of its request

The router refuses a body that is too long at its head and closed the connection at once. Bytes that the caller still sends then reset it, and the caller may lose the 413 or fail to write.

After such a refusal the output ends, what still comes is discarded for a second, and then the connection closes.

--- a/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/CallerConnection.kt
@@ -10,6 +10,7 @@
 import io.netty.channel.ChannelFutureListener
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.channel.socket.DuplexChannel
 import io.netty.handler.codec.TooLongFrameException
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
@@ -271,11 +272,27 @@
         if (last) closing = true
         when {
             written == null -> abort()
+            close -> written.addListener { closeAfterInput() }
             last -> written.addListener(ChannelFutureListener.CLOSE)
             else -> answerWritten()
         }
     }
 
+    /**
+     * Ends the output and discards what the caller still sends, for a limited time: a close with unread
+     * bytes resets the connection, so that the caller may lose the answer.
+     */
+    private fun closeAfterInput() {
+        val duplex = channel as? DuplexChannel
+        if (duplex == null) {
+            channel.close()
+            return
+        }
+        duplex.shutdownOutput()
+        val close = Runnable { channel.close() }
+        channel.eventLoop().schedule(close, MAX_LINGER_MILLIS, TimeUnit.MILLISECONDS)
+    }
+
     private fun refuseAndClose(kind: ErrorKind, detail: String?) {
         listener.requestMalformed(kind, detail)
         incoming?.body?.release()
@@ -377,6 +394,9 @@
         /** The number of pipelined requests at which reading from a connection is paused. */
         const val MAX_PIPELINED = 4
 
+        /** How long a caller that was refused may go on sending its request. */
+        const val MAX_LINGER_MILLIS = 1_000L
+
         /** Idle checks within the shortest timeout. */
         const val CHECKS_PER_TIMEOUT = 2
     }
