--- a/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
+++ b/router/src/main/kotlin/org/hemlockpond/router/entry/EndpointConnection.kt
@@ -1,10 +1,9 @@
 /*
  * One connection to an endpoint, which carries one request at a time. Answers to other requests are
  * skipped, and a connection that received unexpected data isn't reused. Such data may end within a
- * message: HTTP has no mark that would show where the next one begins, so a part of an earlier answer
- * and the answer after it can form a third one, with the status of the first and the id of the second.
- * The number of bytes that are read without being part of an answer is limited, because a faulty
- * endpoint may send without end.
+ * message: HTTP has no mark that would show where the next one begins, so a part of an earlier answer and
+ * the answer after it can form a third one, with the status of the first and the id of the second. The number of bytes that are
+ * read without being part of an answer is limited, because a faulty endpoint may send without end.
  */
 package org.hemlockpond.router.entry
 
