Show requests to a leaving runner after the store returned from a copy

Cause: hosts forget a process whose list entry said that it leaves, and an older entry of it makes it usable again.

--- a/review/standin-2/Runner.java
+++ b/review/standin-2/Runner.java
@@ -20,6 +20,7 @@
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final AtomicLong seq = new AtomicLong();
     private final Work work;
+    private volatile long beatAt;
     volatile boolean listed = true, ended = false;
     volatile String state = "ready";
     private final ExecutorService pool = Executors.newCachedThreadPool(r -> { Thread t = new Thread(r); t.setDaemon(true); return t; });
@@ -30,7 +31,12 @@
         server.bind(new InetSocketAddress("127.0.0.1", 0), 512);
         address = (InetSocketAddress) server.getLocalSocketAddress();
         beat();
-        pool.execute(() -> { while (!ended) { Rig.sleep(1200); if (listed && !ended) beat(); } });
+        pool.execute(() -> {
+            while (!ended) {
+                long due = beatAt + 1200 - System.currentTimeMillis();
+                if (due > 0) Rig.sleep(due); else if (listed) beat(); else return;
+            }
+        });
         pool.execute(() -> {
             while (!ended) {
                 try { Socket s = server.accept(); open.add(s); pool.execute(() -> serve(s)); } catch (IOException e) { return; }
@@ -40,6 +46,7 @@
 
     /** Writes this runner's entry, as it does about every heartbeat interval. */
     synchronized long beat() {
+        beatAt = System.currentTimeMillis();
         return store.put("servers/" + id, "{\"service\":\"" + service + "\",\"address\":\"127.0.0.1:" + address.getPort()
             + "\",\"zone\":\"zone-a\",\"version\":\"" + version + "\",\"slots\":" + slots + ",\"state\":\"" + state + "\",\"cold_left_ms\":0,\"born\":"
             + born + ",\"seq\":" + seq.incrementAndGet() + "}");
